--- /dev/null
+++ b/include/sardinepoint/config.hpp
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sardinepoint
+{
+
+/** Sends calls whose path starts with the prefix to a service. */
+struct route
+{
+    std::string name;
+    std::string prefix;
+    std::string service;
+    time_ms timeout = 5000;
+    /** Overrides what the HTTP method says about idempotency. */
+    std::optional<bool> idempotent;
+};
+
+/** Traffic shares of a service's versions, in whole percent with sum 100. */
+struct service_config
+{
+    std::string name;
+    std::map<std::string, int> versions;
+};
+
+/** One step of a move: from a fraction of the time up to the deadline on, this share. */
+struct move_step
+{
+    /** Share of the service's calls that the new version receives, in percent. */
+    double share = 0;
+    /** Start of the step as a fraction of the time from the move's start to its deadline. */
+    double start_fraction = 0;
+};
+
+/** How a move weighs being on time against withdrawing a bad version. */
+struct move_policy
+{
+    /** Whether to go on at the deadline when calls were too few for a verdict. */
+    bool advance_on_little_evidence = true;
+    /** Whether shares may rise while the log is unavailable. */
+    bool rise_without_log = true;
+    /** Increase of the failure probability that is tolerated, 0 to 1. */
+    double tolerated_increase = 0.01;
+    /** Time after the last step during which the old version is kept and faults still count. */
+    time_ms watch = 0;
+};
+
+enum class move_state
+{
+    running,
+    done,
+    withdrawn,
+};
+
+/** A move of a service's traffic from one version to another. */
+struct move_spec
+{
+    std::string id;
+    std::string service;
+    std::string from;
+    std::string to;
+    /** Wall clock at which the patch was submitted. */
+    time_ms start = 0;
+    /** Wall clock by which all traffic must have moved. */
+    time_ms deadline = 0;
+    move_policy policy;
+    std::vector<move_step> steps;
+};
+
+/** A move with its outcome. */
+struct move_record
+{
+    move_spec spec;
+    move_state state = move_state::running;
+    std::string reason;
+    /** Shares before the move, restored when a withdrawal follows a completion. */
+    std::map<std::string, int> previous_versions;
+};
+
+/** What became of a patch; kept so that a repeated patch id is folded once. */
+struct patch_outcome
+{
+    std::string id;
+    std::uint64_t offset = 0;
+    std::uint64_t version = 0;
+    error reason;
+};
+
+/** The folded configuration; the same on every daemon for the same offset. */
+struct config_state
+{
+    /** Grows by one for each accepted patch. */
+    std::uint64_t version = 0;
+    /** First log offset that isn't folded yet. */
+    std::uint64_t next_offset = 0;
+    std::map<std::string, route> routes;
+    std::map<std::string, service_config> services;
+    std::map<std::string, move_record> moves;
+    /** Ids of ended moves, oldest first. */
+    std::deque<std::string> ended_moves;
+    std::deque<patch_outcome> recent_patches;
+};
+
+struct put_route
+{
+    route value;
+};
+
+struct remove_route
+{
+    std::string name;
+};
+
+struct put_service
+{
+    service_config value;
+};
+
+struct remove_service
+{
+    std::string name;
+};
+
+struct start_move
+{
+    move_spec value;
+};
+
+struct cancel_move
+{
+    std::string id;
+};
+
+using patch_operation =
+    std::variant<put_route, remove_route, put_service, remove_service, start_move, cancel_move>;
+
+/** An operator's change against a numbered version; applied whole or rejected whole. */
+struct patch
+{
+    std::string id;
+    std::uint64_t base = 0;
+    time_ms created = 0;
+    std::vector<patch_operation> operations;
+};
+
+/** The end of a move as appended by a daemon. */
+struct move_outcome
+{
+    std::string move;
+    move_state state = move_state::done;
+    std::string reason;
+};
+
+std::string_view to_string(move_state state);
+
+/** Steps used when a patch names none: small for most of the time, then a fast ramp. */
+std::vector<move_step> default_steps();
+
+/** Parses a patch; rejects unknown keys and wrong types, naming the key and the remedy. */
+std::optional<patch> parse_patch(std::string_view json, error& reason);
+
+/** The patch as JSON text. */
+std::string dump_patch(const patch& change);
+
+/** The move outcome as the JSON text of a log record. */
+std::string dump_outcome(const move_outcome& outcome);
+
+/** The whole state as JSON text with a fixed key order. */
+std::string dump_state(const config_state& state);
+
+/** Parses the text written by dump_state. */
+std::optional<config_state> parse_state(std::string_view json, error& reason);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/include/sardinepoint/event_loop.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace sardinepoint
+{
+
+/** Single-threaded event loop on ACE's epoll reactor. */
+class event_loop;
+
+struct event_loop_deleter
+{
+    void operator()(event_loop* loop) const;
+};
+
+using event_loop_ptr = std::unique_ptr<event_loop, event_loop_deleter>;
+
+/** Identifies a scheduled timer; a value never comes twice. */
+struct timer_id
+{
+    std::uint64_t value = 0;
+};
+
+/** Which events of a file descriptor are of interest. */
+struct io_interest
+{
+    bool read = false;
+    bool write = false;
+};
+
+using io_callback = std::function<void(io_interest ready)>;
+
+event_loop_ptr make_event_loop();
+
+/** Runs until stop() is called. */
+void run(event_loop& loop);
+
+/** Makes run() return after the current event. */
+void stop(event_loop& loop);
+
+/** Calls the function once after the delay. */
+timer_id run_after(event_loop& loop, time_ms delay, std::function<void()> callback);
+
+/** Calls the function repeatedly, first after one interval. */
+timer_id run_every(event_loop& loop, time_ms interval, std::function<void()> callback);
+
+/** Cancels a timer; an expired or unknown one is ignored. */
+void cancel_timer(event_loop& loop, timer_id id);
+
+/** Watches a file descriptor, replacing an earlier watch on it. */
+void watch_fd(event_loop& loop, int fd, io_interest interest, io_callback callback);
+
+/** Stops watching a file descriptor. */
+void unwatch_fd(event_loop& loop, int fd);
+
+/** Identifies a wait limit. */
+struct wait_limit_id
+{
+    std::uint64_t value = 0;
+};
+
+/** Adds a function called before each wait; it returns the longest allowed wait, or -1. */
+wait_limit_id add_wait_limit(event_loop& loop, std::function<time_ms()> limit);
+
+/** Removes a wait limit. */
+void remove_wait_limit(event_loop& loop, wait_limit_id id);
+
+/** Calls the function on SIGTERM and SIGINT. */
+void on_terminate(event_loop& loop, std::function<void()> callback);
+
+/** Wall clock, milliseconds since the Unix epoch. */
+time_ms wall_now();
+
+/** Monotonic clock in milliseconds. */
+time_ms steady_now();
+
+/** Monotonic clock in microseconds, for latency measurements. */
+std::int64_t steady_now_us();
+
+} // namespace sardinepoint
--- /dev/null
+++ b/include/sardinepoint/http.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sardinepoint
+{
+
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
+/** A complete request; target is the raw path with its query. */
+struct http_request
+{
+    std::string method;
+    std::string target;
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+struct http_response
+{
+    int status = 200;
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/** Value of the first header with this name, compared without case. */
+std::optional<std::string_view> find_header(std::span<const http_header> headers,
+                                            std::string_view name);
+
+/** Replaces all headers of this name by one. */
+void set_header(std::vector<http_header>& headers, std::string_view name, std::string value);
+
+/** Removes all headers of this name. */
+void remove_header(std::vector<http_header>& headers, std::string_view name);
+
+/** Whether two header names are equal without regard to case. */
+bool equal_header_name(std::string_view left, std::string_view right);
+
+/** Headers that describe one connection and must not be forwarded. */
+bool is_hop_by_hop(std::string_view name);
+
+/** Path part of a request target. */
+std::string_view path_of(std::string_view target);
+
+/** Decoded value of a query parameter. */
+std::optional<std::string> query_parameter(std::string_view target, std::string_view name);
+
+/** Query parameter as a non-negative integer, or the fallback. */
+std::int64_t query_integer(std::string_view target, std::string_view name, std::int64_t fallback);
+
+/** Non-negative decimal integer; empty if the text is anything else. */
+std::optional<std::int64_t> parse_integer(std::string_view text);
+
+/** A JSON answer with status and body. */
+http_response json_response(int status, std::string body);
+
+/** The standard JSON body for an error. */
+http_response error_response(int status, const error& reason);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/daemon_main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,363 @@
+#include "sardinepoint/http_server.hpp"
+
+#include <microhttpd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+// libmicrohttpd doesn't watch a suspended connection, so closed peers are found by polling.
+constexpr time_ms cancel_poll_interval_ms = 20;
+
+enum class exchange_state
+{
+    receiving,
+    pending,
+    ready,
+    oversized,
+};
+
+struct exchange
+{
+    std::uint64_t id = 0;
+    exchange_state state = exchange_state::receiving;
+    http_request request;
+    http_response response;
+    MHD_Connection* connection = nullptr;
+    bool suspended = false;
+    bool cancelled = false;
+};
+
+} // namespace
+
+class http_server
+{
+public:
+    event_loop* loop = nullptr;
+    MHD_Daemon* daemon = nullptr;
+    int epoll_fd = -1;
+    http_server_options options;
+    http_server_callbacks callbacks;
+    std::unordered_map<std::uint64_t, exchange*> pending;
+    timer_id cancel_timer;
+    wait_limit_id wait_limit;
+    std::uint64_t last_id = 0;
+    std::uint64_t bytes = 0;
+    bool accepting = true;
+    bool needs_run = false;
+};
+
+namespace
+{
+
+http_server& as_server(void* context)
+{
+    return *static_cast<http_server*>(context);
+}
+
+void* begin_exchange(void* context, const char* uri, MHD_Connection*)
+{
+    auto created = std::make_unique<exchange>();
+    created->id = ++as_server(context).last_id;
+    created->request.target = uri;
+    // Owned by the connection; finish_exchange releases it.
+    return created.release();
+}
+
+MHD_Result collect_header(void* context, MHD_ValueKind, const char* key, const char* value)
+{
+    auto& headers = *static_cast<std::vector<http_header>*>(context);
+    headers.push_back({key, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+MHD_Result queue_response(http_server& server, exchange& current)
+{
+    const http_response& answer = current.response;
+    server.bytes += answer.body.size();
+    MHD_Response* response =
+        MHD_create_response_from_buffer(answer.body.size(),
+                                        const_cast<char*>(answer.body.data()), // NOLINT
+                                        MHD_RESPMEM_MUST_COPY);
+    for (const http_header& header : answer.headers)
+    {
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    }
+    const MHD_Result result =
+        MHD_queue_response(current.connection, static_cast<unsigned>(answer.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+void dispatch_request(http_server& server, exchange& current)
+{
+    current.state = exchange_state::pending;
+    server.pending[current.id] = &current;
+    server.bytes += current.request.body.size() + current.request.target.size();
+    server.callbacks.on_request({current.id}, std::move(current.request));
+}
+
+MHD_Result handle_access(void* context, MHD_Connection* connection, const char*, const char* method,
+                         const char*, const char* upload, std::size_t* upload_size,
+                         void** exchange_slot)
+{
+    http_server& server = as_server(context);
+    exchange& current = *static_cast<exchange*>(*exchange_slot);
+    if (current.connection == nullptr)
+    {
+        current.connection = connection;
+        current.request.method = method;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header,
+                                  &current.request.headers);
+        return MHD_YES;
+    }
+    if (*upload_size > 0)
+    {
+        if (current.request.body.size() + *upload_size > server.options.max_body_bytes)
+        {
+            current.state = exchange_state::oversized;
+            current.request.body.clear();
+        }
+        if (current.state != exchange_state::oversized)
+        {
+            current.request.body.append(upload, *upload_size);
+        }
+        *upload_size = 0;
+        return MHD_YES;
+    }
+    if (current.state == exchange_state::oversized)
+    {
+        current.response = error_response(413, {error_kind::invalid_argument,
+                                                "request body is larger than max_body_bytes",
+                                                "send a smaller body or raise max_body_bytes"});
+        return queue_response(server, current);
+    }
+    if (current.state == exchange_state::receiving)
+    {
+        dispatch_request(server, current);
+    }
+    if (current.state == exchange_state::ready)
+    {
+        return queue_response(server, current);
+    }
+    current.suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+}
+
+void finish_exchange(void* context, MHD_Connection*, void** exchange_slot,
+                     MHD_RequestTerminationCode)
+{
+    http_server& server = as_server(context);
+    std::unique_ptr<exchange> finished(static_cast<exchange*>(*exchange_slot));
+    *exchange_slot = nullptr;
+    if (!finished)
+    {
+        return;
+    }
+    const bool unanswered = server.pending.erase(finished->id) > 0;
+    if (unanswered && !finished->cancelled && server.callbacks.on_cancelled)
+    {
+        server.callbacks.on_cancelled({finished->id});
+    }
+}
+
+int connection_fd(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+void cancel_closed_requests(http_server& server)
+{
+    std::vector<pollfd> polled;
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, current] : server.pending)
+    {
+        if (current->suspended && !current->cancelled)
+        {
+            polled.push_back({connection_fd(current->connection), POLLRDHUP, 0});
+            ids.push_back(id);
+        }
+    }
+    if (polled.empty() || ::poll(polled.data(), polled.size(), 0) <= 0)
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < polled.size(); ++i)
+    {
+        // A half-close is a cancellation too: no caller of ours shuts down its sending side
+        // while it waits for an answer.
+        if ((polled[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0)
+        {
+            continue;
+        }
+        const auto found = server.pending.find(ids[i]);
+        if (found == server.pending.end())
+        {
+            continue;
+        }
+        found->second->cancelled = true;
+        if (server.callbacks.on_cancelled)
+        {
+            server.callbacks.on_cancelled({ids[i]});
+        }
+    }
+}
+
+std::optional<sockaddr_in> make_address(const http_server_options& options)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1)
+    {
+        return std::nullopt;
+    }
+    return address;
+}
+
+time_ms server_wait_limit(http_server& server)
+{
+    // A resumed connection has work that no epoll event announces, and MHD_get_timeout doesn't
+    // report it before the next MHD_run.
+    if (std::exchange(server.needs_run, false))
+    {
+        MHD_run(server.daemon);
+    }
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(server.daemon, &timeout) != MHD_YES)
+    {
+        return -1;
+    }
+    server.needs_run = timeout == 0;
+    return static_cast<time_ms>(timeout);
+}
+
+} // namespace
+
+void http_server_deleter::operator()(http_server* server) const
+{
+    unwatch_fd(*server->loop, server->epoll_fd);
+    cancel_timer(*server->loop, server->cancel_timer);
+    remove_wait_limit(*server->loop, server->wait_limit);
+    server->callbacks = {};
+    for (auto& [id, current] : server->pending)
+    {
+        if (current->suspended)
+        {
+            MHD_resume_connection(current->connection);
+        }
+    }
+    stop_accepting(*server);
+    MHD_stop_daemon(server->daemon);
+    delete server;
+}
+
+http_server_ptr open_http_server(event_loop& loop, const http_server_options& options,
+                                 http_server_callbacks callbacks, error& reason)
+{
+    const auto address = make_address(options);
+    if (!address)
+    {
+        reason = {error_kind::invalid_argument, "'" + options.address + "' is not an IPv4 address",
+                  "give an address such as 127.0.0.1"};
+        return nullptr;
+    }
+    std::unique_ptr<http_server> server = std::make_unique<http_server>();
+    server->loop = &loop;
+    server->options = options;
+    server->callbacks = std::move(callbacks);
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options.port, nullptr, nullptr, &handle_access,
+        server.get(), MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_URI_LOG_CALLBACK, &begin_exchange,
+        server.get(), MHD_OPTION_NOTIFY_COMPLETED, &finish_exchange, server.get(),
+        MHD_OPTION_CONNECTION_LIMIT, options.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+        options.idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (server->daemon == nullptr)
+    {
+        reason = {error_kind::internal,
+                  "can't listen on " + options.address + ":" + std::to_string(options.port) + ": " +
+                      std::strerror(errno),
+                  "choose a free port or stop the process that uses it"};
+        return nullptr;
+    }
+    server->epoll_fd = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    http_server* raw = server.get();
+    watch_fd(loop, raw->epoll_fd, {.read = true, .write = false},
+             [raw](io_interest) { MHD_run(raw->daemon); });
+    raw->wait_limit = add_wait_limit(loop, [raw] { return server_wait_limit(*raw); });
+    raw->cancel_timer =
+        run_every(loop, cancel_poll_interval_ms, [raw] { cancel_closed_requests(*raw); });
+    return http_server_ptr(server.release());
+}
+
+std::uint16_t bound_port(const http_server& server)
+{
+    return MHD_get_daemon_info(server.daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void send_reply(http_server& server, request_id id, http_response response)
+{
+    const auto found = server.pending.find(id.value);
+    if (found == server.pending.end())
+    {
+        return;
+    }
+    exchange& current = *found->second;
+    server.pending.erase(found);
+    current.response = std::move(response);
+    current.state = exchange_state::ready;
+    if (current.suspended)
+    {
+        current.suspended = false;
+        MHD_resume_connection(current.connection);
+        server.needs_run = true;
+    }
+}
+
+void stop_accepting(http_server& server)
+{
+    if (!server.accepting)
+    {
+        return;
+    }
+    server.accepting = false;
+    const int listen_fd = MHD_quiesce_daemon(server.daemon);
+    if (listen_fd >= 0)
+    {
+        ::close(listen_fd);
+    }
+}
+
+std::size_t pending_requests(const http_server& server)
+{
+    return server.pending.size();
+}
+
+std::size_t open_connections(const http_server& server)
+{
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(server.daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+}
+
+std::uint64_t transferred_bytes(const http_server& server)
+{
+    return server.bytes;
+}
+
+} // namespace sardinepoint
