--- /dev/null
+++ b/include/sardinepoint/metrics.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <boost/histogram.hpp>
+
+namespace sardinepoint
+{
+
+/** Latency histogram with logarithmic bins from 10 us to 100 s. */
+using latency_histogram = decltype(boost::histogram::make_histogram(
+    boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(70, 1e-5,
+                                                                                    100.0)));
+
+/** Counters, gauges and latency histograms of one process. */
+struct metrics
+{
+    std::map<std::string, std::uint64_t, std::less<>> counters;
+    std::map<std::string, double, std::less<>> gauges;
+    std::map<std::string, latency_histogram, std::less<>> latencies;
+};
+
+/** Adds to a counter. The name may carry labels as in name{key="value"}. */
+void count(metrics& all, std::string_view name, std::uint64_t amount = 1);
+
+/** Sets a gauge. */
+void set_gauge(metrics& all, std::string_view name, double value);
+
+/** Adds one latency in seconds. */
+void observe(metrics& all, std::string_view name, double seconds);
+
+/** Upper edge in seconds of the bin that holds the quantile; 0 without samples. */
+double quantile(const latency_histogram& latency, double fraction);
+
+/** All values as a text page in the Prometheus exposition format. */
+std::string render_metrics(const metrics& all);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/cli.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+#include "sardinepoint/http_client.hpp"
+#include "sardinepoint/settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinepoint
+{
+
+/** What all commands of the tool share. */
+struct cli_options
+{
+    std::vector<endpoint> daemons;
+    bool json = false;
+    time_ms timeout = 10000;
+};
+
+struct patch_command
+{
+    std::string file;
+    std::optional<std::uint64_t> base;
+    std::string id;
+};
+
+struct drain_command
+{
+    std::string member;
+    bool undo = false;
+};
+
+/** Exit status of the tool for a kind of error; 0 for none. */
+int exit_status(error_kind kind);
+
+int run_patch(const cli_options& options, const patch_command& command);
+int run_status(const cli_options& options);
+int run_get(const cli_options& options);
+int run_watch(const cli_options& options, const std::string& move);
+int run_drain(const cli_options& options, const drain_command& command);
+
+/** Prints an error for people or as JSON and returns its exit status. */
+int report_error(const cli_options& options, const error& reason);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,493 @@
+#include "sardinepoint/config.hpp"
+
+#include "json_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using detail::json_reader;
+using nlohmann::json;
+
+constexpr time_ms longest_call_timeout_ms = 600'000;
+constexpr time_ms longest_watch_ms = 7LL * 24 * 3600 * 1000;
+constexpr time_ms latest_time_ms = std::numeric_limits<time_ms>::max() / 2;
+constexpr std::size_t most_steps = 32;
+
+json to_json(const route& value)
+{
+    json out{{"name", value.name},
+             {"prefix", value.prefix},
+             {"service", value.service},
+             {"timeout_ms", value.timeout}};
+    if (value.idempotent)
+    {
+        out["idempotent"] = *value.idempotent;
+    }
+    return out;
+}
+
+json to_json(const service_config& value)
+{
+    return {{"name", value.name}, {"versions", value.versions}};
+}
+
+json to_json(const move_step& step)
+{
+    return {{"share", step.share}, {"start_fraction", step.start_fraction}};
+}
+
+json to_json(const move_policy& policy)
+{
+    return {{"advance_on_little_evidence", policy.advance_on_little_evidence},
+            {"rise_without_log", policy.rise_without_log},
+            {"tolerated_increase", policy.tolerated_increase},
+            {"watch_ms", policy.watch}};
+}
+
+json to_json(const move_spec& spec)
+{
+    json steps = json::array();
+    for (const move_step& step : spec.steps)
+    {
+        steps.push_back(to_json(step));
+    }
+    return {{"id", spec.id},
+            {"service", spec.service},
+            {"from", spec.from},
+            {"to", spec.to},
+            {"start_ms", spec.start},
+            {"deadline_ms", spec.deadline},
+            {"policy", to_json(spec.policy)},
+            {"steps", std::move(steps)}};
+}
+
+json to_json(const patch_operation& operation)
+{
+    struct writer
+    {
+        json operator()(const put_route& op) const
+        {
+            return this->tag("put_route", to_json(op.value));
+        }
+        json operator()(const remove_route& op) const
+        {
+            return this->tag("remove_route", {{"name", op.name}});
+        }
+        json operator()(const put_service& op) const
+        {
+            return this->tag("put_service", to_json(op.value));
+        }
+        json operator()(const remove_service& op) const
+        {
+            return this->tag("remove_service", {{"name", op.name}});
+        }
+        json operator()(const start_move& op) const
+        {
+            return this->tag("start_move", to_json(op.value));
+        }
+        json operator()(const cancel_move& op) const
+        {
+            return this->tag("cancel_move", {{"id", op.id}});
+        }
+        json tag(const char* name, json value) const
+        {
+            value["op"] = name;
+            return value;
+        }
+    };
+    return std::visit(writer{}, operation);
+}
+
+route read_route(json_reader& reader)
+{
+    route value;
+    value.name = reader.text("name");
+    value.prefix = reader.text("prefix");
+    value.service = reader.text("service");
+    value.timeout = reader.integer_or("timeout_ms", value.timeout, 1, longest_call_timeout_ms);
+    if (reader.has("idempotent"))
+    {
+        value.idempotent = reader.boolean_or("idempotent", false);
+    }
+    if (!value.prefix.empty() && value.prefix.front() != '/')
+    {
+        reader.fail("prefix", "does not start with '/'", "give a path such as /duty");
+    }
+    return value;
+}
+
+std::map<std::string, int> read_shares(json_reader& reader, std::string_view key)
+{
+    constexpr int whole = 100;
+    std::map<std::string, int> shares;
+    int sum = 0;
+    for (const auto& [version, share] : reader.object(key).items())
+    {
+        if (version.empty() || !share.is_number_integer() || share < 0 || share > whole)
+        {
+            reader.fail(key, "has a share that is not a whole percentage",
+                        "give each version a whole number from 0 to 100");
+            return {};
+        }
+        shares[version] = share.get<int>();
+        sum += shares[version];
+    }
+    if (sum != whole)
+    {
+        reader.fail(key, "has shares with the sum " + std::to_string(sum),
+                    "make the shares add up to 100");
+    }
+    return shares;
+}
+
+service_config read_service(json_reader& reader)
+{
+    service_config value;
+    value.name = reader.text("name");
+    value.versions = read_shares(reader, "versions");
+    return value;
+}
+
+move_policy read_policy(const json& value, error_kind kind, error& reason, bool& failed)
+{
+    json_reader reader(value, "move policy", kind, reason);
+    move_policy policy;
+    policy.advance_on_little_evidence =
+        reader.boolean_or("advance_on_little_evidence", policy.advance_on_little_evidence);
+    policy.rise_without_log = reader.boolean_or("rise_without_log", policy.rise_without_log);
+    policy.tolerated_increase =
+        reader.number_or("tolerated_increase", policy.tolerated_increase, 0, 1);
+    policy.watch = reader.integer_or("watch_ms", policy.watch, 0, longest_watch_ms);
+    failed = !reader.finish();
+    return policy;
+}
+
+std::vector<move_step> read_steps(const json& values, error_kind kind, error& reason, bool& failed)
+{
+    std::vector<move_step> steps;
+    for (const json& value : values)
+    {
+        json_reader reader(value, "move step", kind, reason);
+        move_step step;
+        step.share = reader.number("share", 0, 100);
+        step.start_fraction = reader.number("start_fraction", 0, 1);
+        const bool rises = steps.empty() || (step.share > steps.back().share &&
+                                             step.start_fraction > steps.back().start_fraction);
+        if (!rises)
+        {
+            reader.fail("share", "does not rise from the step before",
+                        "list steps with rising share and rising start_fraction");
+        }
+        failed = !reader.finish() || failed;
+        steps.push_back(step);
+        if (failed)
+        {
+            return {};
+        }
+    }
+    return steps;
+}
+
+move_spec read_move(json_reader& reader, error_kind kind, error& reason)
+{
+    move_spec spec;
+    spec.id = reader.text("id");
+    spec.service = reader.text("service");
+    spec.from = reader.text("from");
+    spec.to = reader.text("to");
+    spec.start = reader.integer_or("start_ms", 0, 0, latest_time_ms);
+    spec.deadline = reader.integer("deadline_ms", 0, latest_time_ms);
+    spec.steps = default_steps();
+    bool failed = reader.failed();
+    if (!failed && reader.has("policy"))
+    {
+        const json& policy = reader.object("policy");
+        spec.policy = read_policy(policy, kind, reason, failed);
+    }
+    if (!failed && reader.has("steps"))
+    {
+        spec.steps = read_steps(reader.array("steps"), kind, reason, failed);
+        if (!failed &&
+            (spec.steps.empty() || spec.steps.size() > most_steps || spec.steps.back().share < 100))
+        {
+            reader.fail("steps", "does not end at share 100 or has no or too many steps",
+                        "list 1 to 32 steps, the last with share 100");
+        }
+    }
+    if (failed && !reader.failed())
+    {
+        const error kept = reason;
+        reader.fail("policy", "", "");
+        reason = kept;
+    }
+    return spec;
+}
+
+std::optional<patch_operation> read_operation(const json& value, std::size_t index, error& reason)
+{
+    constexpr error_kind kind = error_kind::invalid_patch;
+    json_reader reader(value, "operation " + std::to_string(index), kind, reason);
+    const std::string name = reader.text("op");
+    std::optional<patch_operation> operation;
+    if (name == "put_route")
+    {
+        operation = put_route{read_route(reader)};
+    }
+    else if (name == "remove_route")
+    {
+        operation = remove_route{reader.text("name")};
+    }
+    else if (name == "put_service")
+    {
+        operation = put_service{read_service(reader)};
+    }
+    else if (name == "remove_service")
+    {
+        operation = remove_service{reader.text("name")};
+    }
+    else if (name == "start_move")
+    {
+        operation = start_move{read_move(reader, kind, reason)};
+    }
+    else if (name == "cancel_move")
+    {
+        operation = cancel_move{reader.text("id")};
+    }
+    else
+    {
+        reader.fail("op", "is not a known operation",
+                    "use put_route, remove_route, put_service, remove_service, start_move or "
+                    "cancel_move");
+    }
+    return reader.finish() ? operation : std::nullopt;
+}
+
+json to_json(const move_record& record)
+{
+    return {{"spec", to_json(record.spec)},
+            {"state", to_string(record.state)},
+            {"reason", record.reason},
+            {"previous_versions", record.previous_versions}};
+}
+
+json to_json(const patch_outcome& outcome)
+{
+    return {{"id", outcome.id},
+            {"offset", outcome.offset},
+            {"version", outcome.version},
+            {"kind", to_string(outcome.reason.kind)},
+            {"message", outcome.reason.message},
+            {"remedy", outcome.reason.remedy}};
+}
+
+std::optional<move_state> move_state_from(std::string_view name)
+{
+    for (const move_state state : {move_state::running, move_state::done, move_state::withdrawn})
+    {
+        if (to_string(state) == name)
+        {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<move_record> read_move_record(const json& value, error& reason)
+{
+    constexpr error_kind kind = error_kind::internal;
+    json_reader reader(value, "move", kind, reason);
+    move_record record;
+    const auto state = move_state_from(reader.text("state"));
+    if (!state)
+    {
+        reader.fail("state", "is not a move state", "use running, done or withdrawn");
+    }
+    record.state = state.value_or(move_state::running);
+    record.reason = reader.text_or("reason", "");
+    record.previous_versions = read_shares(reader, "previous_versions");
+    json_reader spec(reader.object("spec"), "move spec", kind, reason);
+    record.spec = read_move(spec, kind, reason);
+    if (!spec.finish() || !reader.finish())
+    {
+        return std::nullopt;
+    }
+    return record;
+}
+
+patch_outcome read_patch_outcome(const json& value, error& reason)
+{
+    json_reader reader(value, "patch outcome", error_kind::internal, reason);
+    patch_outcome outcome;
+    outcome.id = reader.text("id");
+    outcome.offset = reader.counter("offset");
+    outcome.version = reader.counter("version");
+    outcome.reason.kind = error_kind_from(reader.text("kind"));
+    outcome.reason.message = reader.text_or("message", "");
+    outcome.reason.remedy = reader.text_or("remedy", "");
+    reader.finish();
+    return outcome;
+}
+
+} // namespace
+
+std::string_view to_string(move_state state)
+{
+    switch (state)
+    {
+    case move_state::running:
+        return "running";
+    case move_state::done:
+        return "done";
+    case move_state::withdrawn:
+        return "withdrawn";
+    }
+    return "running";
+}
+
+std::optional<patch> parse_patch(std::string_view text, error& reason)
+{
+    const auto parsed = detail::parse_json(text, error_kind::invalid_patch, reason);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    json_reader reader(*parsed, "patch", error_kind::invalid_patch, reason);
+    reader.text_or("kind", "patch");
+    patch change;
+    change.id = reader.text("id");
+    change.base = reader.counter("base");
+    change.created = reader.integer_or("created_ms", 0, 0, latest_time_ms);
+    const json& operations = reader.array("ops");
+    if (operations.empty())
+    {
+        reader.fail("ops", "has no operation", "list at least one operation");
+    }
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    for (const json& value : operations)
+    {
+        auto operation = read_operation(value, change.operations.size(), reason);
+        if (!operation)
+        {
+            return std::nullopt;
+        }
+        change.operations.push_back(std::move(*operation));
+    }
+    return change;
+}
+
+std::string dump_patch(const patch& change)
+{
+    json operations = json::array();
+    for (const patch_operation& operation : change.operations)
+    {
+        operations.push_back(to_json(operation));
+    }
+    return json{{"kind", "patch"},
+                {"id", change.id},
+                {"base", change.base},
+                {"created_ms", change.created},
+                {"ops", std::move(operations)}}
+        .dump();
+}
+
+std::string dump_outcome(const move_outcome& outcome)
+{
+    return json{{"kind", "outcome"},
+                {"move", outcome.move},
+                {"state", to_string(outcome.state)},
+                {"reason", outcome.reason}}
+        .dump();
+}
+
+std::string dump_state(const config_state& state)
+{
+    json routes = json::array();
+    for (const auto& [name, value] : state.routes)
+    {
+        routes.push_back(to_json(value));
+    }
+    json services = json::array();
+    for (const auto& [name, value] : state.services)
+    {
+        services.push_back(to_json(value));
+    }
+    json moves = json::array();
+    for (const auto& [id, value] : state.moves)
+    {
+        moves.push_back(to_json(value));
+    }
+    json patches = json::array();
+    for (const patch_outcome& outcome : state.recent_patches)
+    {
+        patches.push_back(to_json(outcome));
+    }
+    return json{{"version", state.version},     {"next_offset", state.next_offset},
+                {"routes", std::move(routes)},  {"services", std::move(services)},
+                {"moves", std::move(moves)},    {"ended_moves", state.ended_moves},
+                {"patches", std::move(patches)}}
+        .dump();
+}
+
+std::optional<config_state> parse_state(std::string_view text, error& reason)
+{
+    constexpr error_kind kind = error_kind::internal;
+    reason = {};
+    const auto parsed = detail::parse_json(text, kind, reason);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    json_reader reader(*parsed, "state", kind, reason);
+    config_state state;
+    state.version = reader.counter("version");
+    state.next_offset = reader.counter("next_offset");
+    for (const json& value : reader.array("routes"))
+    {
+        json_reader item(value, "route", kind, reason);
+        route read = read_route(item);
+        item.finish();
+        state.routes[read.name] = std::move(read);
+    }
+    for (const json& value : reader.array("services"))
+    {
+        json_reader item(value, "service", kind, reason);
+        service_config read = read_service(item);
+        item.finish();
+        state.services[read.name] = std::move(read);
+    }
+    for (const json& value : reader.array("moves"))
+    {
+        auto read = read_move_record(value, reason);
+        if (!read)
+        {
+            return std::nullopt;
+        }
+        state.moves[read->spec.id] = std::move(*read);
+    }
+    for (const json& value : reader.array("ended_moves"))
+    {
+        state.ended_moves.push_back(value.is_string() ? value.get<std::string>() : "");
+    }
+    for (const json& value : reader.array("patches"))
+    {
+        state.recent_patches.push_back(read_patch_outcome(value, reason));
+    }
+    if (!reader.finish() || reason.kind != error_kind::none)
+    {
+        return std::nullopt;
+    }
+    return state;
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/fold.cpp
@@ -0,0 +1,428 @@
+#include "sardinepoint/fold.hpp"
+
+#include "json_reader.hpp"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using detail::json_reader;
+using nlohmann::json;
+
+// At 11,000 patches a day this remembers patch ids for about two hours, far longer than a
+// command-line tool repeats one.
+constexpr std::size_t remembered_patches = 1024;
+constexpr std::size_t remembered_moves = 256;
+
+error invalid(std::string message, std::string remedy)
+{
+    return {error_kind::invalid_patch, std::move(message), std::move(remedy)};
+}
+
+bool service_has_running_move(const config_state& state, std::string_view service)
+{
+    return std::any_of(state.moves.begin(), state.moves.end(),
+                       [service](const auto& entry)
+                       {
+                           const move_record& record = entry.second;
+                           return record.state == move_state::running &&
+                                  record.spec.service == service;
+                       });
+}
+
+void end_move(config_state& state, move_record& record, move_state outcome, std::string reason)
+{
+    record.state = outcome;
+    record.reason = std::move(reason);
+    state.ended_moves.push_back(record.spec.id);
+    while (state.ended_moves.size() > remembered_moves)
+    {
+        state.moves.erase(state.ended_moves.front());
+        state.ended_moves.pop_front();
+    }
+}
+
+std::map<std::string, int> moved_versions(const move_record& record)
+{
+    std::map<std::string, int> versions = record.previous_versions;
+    const int share = versions[record.spec.from];
+    versions.erase(record.spec.from);
+    versions[record.spec.to] += share;
+    return versions;
+}
+
+/** Applies single operations to a copy of the state. */
+struct operation_applier
+{
+    config_state& state;
+    const patch& change;
+    error& reason;
+
+    bool operator()(const put_route& op) const
+    {
+        for (const auto& [name, other] : this->state.routes)
+        {
+            if (name != op.value.name && other.prefix == op.value.prefix)
+            {
+                return this->refuse("prefix '" + op.value.prefix + "' belongs to route '" + name +
+                                        "' already",
+                                    "choose another prefix or remove that route");
+            }
+        }
+        this->state.routes[op.value.name] = op.value;
+        return true;
+    }
+
+    bool operator()(const remove_route& op) const
+    {
+        if (this->state.routes.erase(op.name) == 0)
+        {
+            return this->refuse("route '" + op.name + "' does not exist",
+                                "see 'sardinepoint get' for the routes");
+        }
+        return true;
+    }
+
+    bool operator()(const put_service& op) const
+    {
+        if (service_has_running_move(this->state, op.value.name))
+        {
+            return this->refuse("service '" + op.value.name + "' has a running move",
+                                "cancel the move or wait for its end");
+        }
+        this->state.services[op.value.name] = op.value;
+        return true;
+    }
+
+    bool operator()(const remove_service& op) const
+    {
+        if (service_has_running_move(this->state, op.name))
+        {
+            return this->refuse("service '" + op.name + "' has a running move",
+                                "cancel the move first");
+        }
+        if (this->state.services.erase(op.name) == 0)
+        {
+            return this->unknown_service(op.name);
+        }
+        return true;
+    }
+
+    bool operator()(const start_move& op) const
+    {
+        const auto service = this->state.services.find(op.value.service);
+        if (service == this->state.services.end())
+        {
+            return this->unknown_service(op.value.service);
+        }
+        if (this->state.moves.contains(op.value.id))
+        {
+            return this->refuse("move '" + op.value.id + "' exists already",
+                                "choose a new move id");
+        }
+        if (service_has_running_move(this->state, op.value.service))
+        {
+            return this->refuse("service '" + op.value.service + "' has a running move",
+                                "cancel the move or wait for its end");
+        }
+        if (!service->second.versions.contains(op.value.from) || op.value.from == op.value.to)
+        {
+            return this->refuse("version '" + op.value.from + "' is not a version of service '" +
+                                    op.value.service + "' that can move to '" + op.value.to + "'",
+                                "name a present version in 'from' and a different one in 'to'");
+        }
+        return this->add_move(op.value, service->second);
+    }
+
+    bool operator()(const cancel_move& op) const
+    {
+        const auto found = this->state.moves.find(op.id);
+        if (found == this->state.moves.end() || found->second.state != move_state::running)
+        {
+            return this->refuse("move '" + op.id + "' is not running",
+                                "see 'sardinepoint status' for the running moves");
+        }
+        end_move(this->state, found->second, move_state::withdrawn, "cancelled by an operator");
+        return true;
+    }
+
+    bool add_move(const move_spec& spec, const service_config& service) const
+    {
+        move_record record{.spec = spec};
+        record.spec.start = this->change.created;
+        record.previous_versions = service.versions;
+        if (record.spec.deadline <= record.spec.start)
+        {
+            return this->refuse(
+                "key 'deadline_ms' has the value " + std::to_string(record.spec.deadline) +
+                    ", which is not after the patch's time " + std::to_string(record.spec.start),
+                "give a deadline in the future");
+        }
+        this->state.moves[spec.id] = std::move(record);
+        return true;
+    }
+
+    bool unknown_service(const std::string& name) const
+    {
+        this->reason = {error_kind::unknown_service, "service '" + name + "' does not exist",
+                        "add it with put_service or correct the name"};
+        return false;
+    }
+
+    bool refuse(std::string message, std::string remedy) const
+    {
+        this->reason = invalid(std::move(message), std::move(remedy));
+        return false;
+    }
+};
+
+bool check_references(const config_state& state, error& reason)
+{
+    for (const auto& [name, value] : state.routes)
+    {
+        if (!state.services.contains(value.service))
+        {
+            reason = {error_kind::unknown_service,
+                      "route '" + name + "' names the unknown service '" + value.service + "'",
+                      "add the service in the same patch or correct the name"};
+            return false;
+        }
+    }
+    return true;
+}
+
+void remember_patch(config_state& state, const patch& change, std::uint64_t offset,
+                    const error& reason)
+{
+    state.recent_patches.push_back(
+        {.id = change.id, .offset = offset, .version = state.version, .reason = reason});
+    if (state.recent_patches.size() > remembered_patches)
+    {
+        state.recent_patches.pop_front();
+    }
+}
+
+fold_result fold_patch(config_state& state, const log_record& record)
+{
+    fold_result result;
+    const auto change = parse_patch(record.body, result.reason);
+    if (!change)
+    {
+        result.kind = fold_kind::malformed;
+        return result;
+    }
+    result.id = change->id;
+    if (find_patch(state, change->id) != nullptr)
+    {
+        result.kind = fold_kind::patch_repeated;
+        return result;
+    }
+    auto next = apply_patch(state, *change, result.reason);
+    if (next)
+    {
+        state = std::move(*next);
+    }
+    remember_patch(state, *change, record.offset, result.reason);
+    result.kind = next ? fold_kind::patch_accepted : fold_kind::patch_rejected;
+    return result;
+}
+
+/** A withdrawal may follow a completion as long as the service still has the moved shares. */
+bool outcome_applies(const config_state& state, const move_record& record, move_state outcome)
+{
+    if (record.state == move_state::running)
+    {
+        return outcome != move_state::running;
+    }
+    if (record.state != move_state::done || outcome != move_state::withdrawn)
+    {
+        return false;
+    }
+    const auto service = state.services.find(record.spec.service);
+    return service != state.services.end() && service->second.versions == moved_versions(record) &&
+           !service_has_running_move(state, record.spec.service);
+}
+
+void apply_outcome(config_state& state, move_record& record, const move_outcome& outcome)
+{
+    auto& versions = state.services[record.spec.service].versions;
+    versions =
+        outcome.state == move_state::done ? moved_versions(record) : record.previous_versions;
+    if (record.state == move_state::running)
+    {
+        end_move(state, record, outcome.state, outcome.reason);
+        return;
+    }
+    record.state = outcome.state;
+    record.reason = outcome.reason;
+}
+
+fold_result fold_outcome(config_state& state, const json& body)
+{
+    fold_result result;
+    json_reader reader(body, "outcome", error_kind::invalid_patch, result.reason);
+    reader.text("kind");
+    move_outcome outcome;
+    outcome.move = reader.text("move");
+    const std::string state_name = reader.text("state");
+    outcome.reason = reader.text_or("reason", "");
+    if (state_name != "done" && state_name != "withdrawn")
+    {
+        reader.fail("state", "is not an end of a move", "use done or withdrawn");
+    }
+    if (!reader.finish())
+    {
+        return result;
+    }
+    outcome.state = state_name == "done" ? move_state::done : move_state::withdrawn;
+    result.id = outcome.move;
+    const auto found = state.moves.find(outcome.move);
+    if (found == state.moves.end() || !outcome_applies(state, found->second, outcome.state))
+    {
+        result.kind = fold_kind::outcome_ignored;
+        return result;
+    }
+    apply_outcome(state, found->second, outcome);
+    result.kind = fold_kind::move_ended;
+    return result;
+}
+
+std::string digest_of(std::string_view text)
+{
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    std::array<char, 33> buffer{};
+    std::snprintf(buffer.data(), buffer.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(hash.high64),
+                  static_cast<unsigned long long>(hash.low64));
+    return buffer.data();
+}
+
+} // namespace
+
+std::string_view to_string(fold_kind kind)
+{
+    switch (kind)
+    {
+    case fold_kind::patch_accepted:
+        return "patch_accepted";
+    case fold_kind::patch_rejected:
+        return "patch_rejected";
+    case fold_kind::patch_repeated:
+        return "patch_repeated";
+    case fold_kind::move_ended:
+        return "move_ended";
+    case fold_kind::outcome_ignored:
+        return "outcome_ignored";
+    case fold_kind::malformed:
+        return "malformed";
+    case fold_kind::out_of_order:
+        return "out_of_order";
+    }
+    return "malformed";
+}
+
+std::optional<config_state> apply_patch(const config_state& state, const patch& change,
+                                        error& reason)
+{
+    if (change.base != state.version)
+    {
+        reason = {error_kind::stale_version,
+                  "key 'base' has the value " + std::to_string(change.base) +
+                      " but the current version is " + std::to_string(state.version),
+                  "read the current version with 'sardinepoint get' and submit against it"};
+        return std::nullopt;
+    }
+    config_state next = state;
+    for (const patch_operation& operation : change.operations)
+    {
+        if (!std::visit(operation_applier{next, change, reason}, operation))
+        {
+            return std::nullopt;
+        }
+    }
+    if (!check_references(next, reason))
+    {
+        return std::nullopt;
+    }
+    ++next.version;
+    return next;
+}
+
+fold_result fold_record(config_state& state, const log_record& record)
+{
+    fold_result result;
+    if (record.offset != state.next_offset)
+    {
+        result.kind = fold_kind::out_of_order;
+        return result;
+    }
+    ++state.next_offset;
+    const json body = json::parse(record.body, nullptr, false);
+    if (!body.is_object() || !body.contains("kind") || !body["kind"].is_string())
+    {
+        result.reason = invalid("the record is not a JSON object with a string 'kind'",
+                                "publish with the sardinepoint tool only");
+        return result;
+    }
+    const std::string kind = body["kind"].get<std::string>();
+    if (kind == "patch")
+    {
+        return fold_patch(state, record);
+    }
+    if (kind == "outcome")
+    {
+        return fold_outcome(state, body);
+    }
+    result.reason = invalid("key 'kind' has the unknown value '" + kind + "'",
+                            "publish with the sardinepoint tool only");
+    return result;
+}
+
+const patch_outcome* find_patch(const config_state& state, std::string_view id)
+{
+    const auto found = std::find_if(state.recent_patches.begin(), state.recent_patches.end(),
+                                    [id](const patch_outcome& known) { return known.id == id; });
+    return found == state.recent_patches.end() ? nullptr : &*found;
+}
+
+std::string make_snapshot(const config_state& state)
+{
+    const std::string text = dump_state(state);
+    return json{{"kind", "snapshot"}, {"digest", digest_of(text)}, {"state", text}}.dump();
+}
+
+std::optional<config_state> restore_snapshot(std::string_view text, error& reason)
+{
+    const auto parsed = detail::parse_json(text, error_kind::internal, reason);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    json_reader reader(*parsed, "snapshot", error_kind::internal, reason);
+    reader.text("kind");
+    const std::string digest = reader.text("digest");
+    const std::string state = reader.text("state");
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    if (digest != digest_of(state))
+    {
+        reason = {error_kind::internal, "the snapshot's digest doesn't match its state",
+                  "use an older snapshot"};
+        return std::nullopt;
+    }
+    return parse_state(state, reason);
+}
+
+} // namespace sardinepoint
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -143,7 +143,8 @@
                                {{"kind", to_string(reason.kind)},
                                 {"message", reason.message},
                                 {"remedy", reason.remedy}}}};
-    return json_response(status, body.dump());
+    return json_response(status,
+                         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 } // namespace sardinepoint
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,99 @@
+#include "sardinepoint/metrics.hpp"
+
+#include <boost/histogram/algorithm/sum.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+namespace histogram = boost::histogram;
+
+constexpr int bin_count = 70;
+constexpr double lowest_latency_s = 1e-5;
+constexpr double highest_latency_s = 100.0;
+constexpr std::array<double, 4> rendered_quantiles{0.5, 0.9, 0.99, 0.999};
+
+latency_histogram make_latency_histogram()
+{
+    return histogram::make_histogram(
+        histogram::axis::regular<double, histogram::axis::transform::log>(
+            bin_count, lowest_latency_s, highest_latency_s));
+}
+
+} // namespace
+
+void count(metrics& all, std::string_view name, std::uint64_t amount)
+{
+    const auto found = all.counters.find(name);
+    if (found != all.counters.end())
+    {
+        found->second += amount;
+        return;
+    }
+    all.counters.emplace(name, amount);
+}
+
+void set_gauge(metrics& all, std::string_view name, double value)
+{
+    all.gauges[std::string(name)] = value;
+}
+
+void observe(metrics& all, std::string_view name, double seconds)
+{
+    auto found = all.latencies.find(name);
+    if (found == all.latencies.end())
+    {
+        found = all.latencies.emplace(name, make_latency_histogram()).first;
+    }
+    found->second(seconds);
+}
+
+double quantile(const latency_histogram& latency, double fraction)
+{
+    const double total = histogram::algorithm::sum(latency);
+    const auto& axis = latency.axis();
+    double seen = 0;
+    for (int i = -1; total > 0 && i <= axis.size(); ++i)
+    {
+        seen += latency.at(i);
+        if (seen >= fraction * total)
+        {
+            return i >= axis.size() ? highest_latency_s : axis.bin(std::max(i, 0)).upper();
+        }
+    }
+    return 0;
+}
+
+std::string render_metrics(const metrics& all)
+{
+    std::string page;
+    auto out = std::back_inserter(page);
+    for (const auto& [name, value] : all.counters)
+    {
+        fmt::format_to(out, "sardinepoint_{} {}\n", name, value);
+    }
+    for (const auto& [name, value] : all.gauges)
+    {
+        fmt::format_to(out, "sardinepoint_{} {}\n", name, value);
+    }
+    for (const auto& [name, latency] : all.latencies)
+    {
+        for (const double fraction : rendered_quantiles)
+        {
+            fmt::format_to(out, "sardinepoint_{}{{quantile=\"{}\"}} {:.6f}\n", name, fraction,
+                           quantile(latency, fraction));
+        }
+        fmt::format_to(out, "sardinepoint_{}_count {:.0f}\n", name,
+                       histogram::algorithm::sum(latency));
+    }
+    return page;
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/support/standin_log.cpp
@@ -0,0 +1,321 @@
+// Stand-in for the platform's log service: append-only streams in memory with offsets, limited
+// retention, a limit on appends a second, and faults that a test switches on.
+
+#include "sardinepoint/event_loop.hpp"
+#include "sardinepoint/http_server.hpp"
+#include "sardinepoint/logging.hpp"
+
+#include <docopt/docopt.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr const char* usage = R"(Stand-in for the platform's log service.
+
+Usage:
+  standin_log [--address=IP] [--port=N] [--retention=N] [--appends-per-second=N]
+
+Options:
+  --address=IP              Address to listen on [default: 127.0.0.1].
+  --port=N                  Port to listen on, 0 takes a free one [default: 0].
+  --retention=N             Records kept in each stream [default: 100000].
+  --appends-per-second=N    Appends accepted each second [default: 500].
+)";
+
+struct stored_record
+{
+    time_ms appended = 0;
+    std::string body;
+};
+
+struct stream
+{
+    std::uint64_t first = 0;
+    std::deque<stored_record> records;
+};
+
+struct waiting_read
+{
+    request_id id;
+    std::string name;
+    std::uint64_t from = 0;
+    std::size_t limit = 0;
+    time_ms deadline = 0;
+};
+
+/** How the service misbehaves. */
+struct faults
+{
+    /** up: normal; refuse: 503; stall: requests get no answer. */
+    std::string mode = "up";
+    /** Number of appends that take effect but whose answer is lost. */
+    int lost_answers = 0;
+    time_ms delay = 0;
+};
+
+struct service
+{
+    event_loop* loop = nullptr;
+    http_server_ptr server;
+    std::map<std::string, stream> streams;
+    std::vector<waiting_read> waiting;
+    faults fault;
+    std::size_t retention = 0;
+    int appends_per_second = 0;
+    time_ms second_start = 0;
+    int appends_in_second = 0;
+    int reads_in_second = 0;
+    int most_reads_in_second = 0;
+    std::map<std::string, std::uint64_t> reads_by_client;
+    std::uint64_t appends = 0;
+    std::uint64_t refused_appends = 0;
+};
+
+std::uint64_t next_offset(const stream& target)
+{
+    return target.first + target.records.size();
+}
+
+json make_page(const stream& source, std::uint64_t from, std::size_t limit)
+{
+    json records = json::array();
+    for (std::uint64_t offset = from; offset < next_offset(source) && records.size() < limit;
+         ++offset)
+    {
+        const stored_record& record = source.records[offset - source.first];
+        records.push_back(
+            {{"offset", offset}, {"time_ms", record.appended}, {"body", record.body}});
+    }
+    return {{"first", source.first}, {"next", next_offset(source)}, {"records", records}};
+}
+
+void reply(service& log, request_id id, int status, const json& body)
+{
+    if (log.fault.delay > 0)
+    {
+        run_after(*log.loop, log.fault.delay,
+                  [&log, id, status, text = body.dump()]
+                  { send_reply(*log.server, id, json_response(status, text)); });
+        return;
+    }
+    send_reply(*log.server, id, json_response(status, body.dump()));
+}
+
+void answer_waiting(service& log)
+{
+    std::vector<waiting_read> ready;
+    std::erase_if(log.waiting,
+                  [&](const waiting_read& read)
+                  {
+                      const bool has_record = read.from < next_offset(log.streams[read.name]);
+                      const bool due = has_record || steady_now() >= read.deadline;
+                      if (due)
+                      {
+                          ready.push_back(read);
+                      }
+                      return due;
+                  });
+    for (const waiting_read& read : ready)
+    {
+        reply(log, read.id, 200, make_page(log.streams[read.name], read.from, read.limit));
+    }
+}
+
+void count_second(service& log)
+{
+    constexpr time_ms second_ms = 1000;
+    const time_ms now = steady_now();
+    if (now - log.second_start >= second_ms)
+    {
+        log.second_start = now;
+        log.appends_in_second = 0;
+        log.reads_in_second = 0;
+    }
+}
+
+void handle_append(service& log, request_id id, const std::string& name, const std::string& body)
+{
+    count_second(log);
+    if (++log.appends_in_second > log.appends_per_second)
+    {
+        ++log.refused_appends;
+        reply(log, id, 429, {{"reason", "too many appends a second"}});
+        return;
+    }
+    stream& target = log.streams[name];
+    const std::uint64_t offset = next_offset(target);
+    target.records.push_back({wall_now(), body});
+    ++log.appends;
+    while (target.records.size() > log.retention)
+    {
+        target.records.pop_front();
+        ++target.first;
+    }
+    if (log.fault.lost_answers > 0)
+    {
+        --log.fault.lost_answers;
+    }
+    else
+    {
+        reply(log, id, 200, {{"offset", offset}});
+    }
+    answer_waiting(log);
+}
+
+void handle_read(service& log, request_id id, const std::string& name, const http_request& request)
+{
+    count_second(log);
+    log.most_reads_in_second = std::max(log.most_reads_in_second, ++log.reads_in_second);
+    const auto client = find_header(request.headers, "Log-Client");
+    ++log.reads_by_client[std::string(client.value_or("unknown"))];
+    stream& source = log.streams[name];
+    const std::int64_t newest = query_integer(request.target, "newest", -1);
+    const auto limit = static_cast<std::size_t>(
+        query_integer(request.target, "limit", newest >= 0 ? newest : 256));
+    auto from = static_cast<std::uint64_t>(query_integer(request.target, "from", 0));
+    if (newest >= 0)
+    {
+        const std::uint64_t wanted = std::min<std::uint64_t>(newest, source.records.size());
+        from = next_offset(source) - wanted;
+    }
+    if (from < source.first)
+    {
+        reply(log, id, 410, make_page(source, next_offset(source), 0));
+        return;
+    }
+    const time_ms wait = query_integer(request.target, "wait_ms", 0);
+    if (from >= next_offset(source) && wait > 0)
+    {
+        log.waiting.push_back({id, name, from, limit, steady_now() + wait});
+        return;
+    }
+    reply(log, id, 200, make_page(source, from, limit));
+}
+
+void handle_faults(service& log, request_id id, const std::string& body)
+{
+    const json wanted = json::parse(body, nullptr, false);
+    if (!wanted.is_object())
+    {
+        send_reply(*log.server, id, json_response(400, "{}"));
+        return;
+    }
+    log.fault.mode = wanted.value("mode", log.fault.mode);
+    log.fault.lost_answers = wanted.value("lost_answers", log.fault.lost_answers);
+    log.fault.delay = wanted.value("delay_ms", log.fault.delay);
+    log.retention = wanted.value("retention", log.retention);
+    for (auto& [name, target] : log.streams)
+    {
+        while (target.records.size() > log.retention)
+        {
+            target.records.pop_front();
+            ++target.first;
+        }
+    }
+    send_reply(*log.server, id, json_response(200, "{}"));
+}
+
+void handle_stats(service& log, request_id id)
+{
+    json offsets = json::object();
+    for (const auto& [name, target] : log.streams)
+    {
+        offsets[name] = next_offset(target);
+    }
+    const json body{{"appends", log.appends},
+                    {"refused_appends", log.refused_appends},
+                    {"next", offsets},
+                    {"reads_by_client", log.reads_by_client},
+                    {"most_reads_in_second", log.most_reads_in_second}};
+    send_reply(*log.server, id, json_response(200, body.dump()));
+}
+
+/** Name of the stream in "/streams/NAME/records", or nothing. */
+std::optional<std::string> stream_name(std::string_view path)
+{
+    constexpr std::string_view head = "/streams/";
+    constexpr std::string_view tail = "/records";
+    if (path.size() <= head.size() + tail.size() || path.substr(0, head.size()) != head ||
+        path.substr(path.size() - tail.size()) != tail)
+    {
+        return std::nullopt;
+    }
+    return std::string(path.substr(head.size(), path.size() - head.size() - tail.size()));
+}
+
+void handle(service& log, request_id id, const http_request& request)
+{
+    const std::string_view path = path_of(request.target);
+    if (path == "/faults")
+    {
+        handle_faults(log, id, request.body);
+        return;
+    }
+    if (path == "/stats")
+    {
+        handle_stats(log, id);
+        return;
+    }
+    if (log.fault.mode == "stall")
+    {
+        return;
+    }
+    const auto name = stream_name(path);
+    if (log.fault.mode == "refuse" || !name)
+    {
+        const int status = name ? 503 : 404;
+        send_reply(*log.server, id, json_response(status, "{\"reason\":\"unavailable\"}"));
+        return;
+    }
+    if (request.method == "POST")
+    {
+        handle_append(log, id, *name, request.body);
+        return;
+    }
+    handle_read(log, id, *name, request);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    set_up_logging(log_level::info, "standin_log");
+    event_loop_ptr loop = make_event_loop();
+    service log;
+    log.loop = loop.get();
+    log.retention = static_cast<std::size_t>(args["--retention"].asLong());
+    log.appends_per_second = static_cast<int>(args["--appends-per-second"].asLong());
+    error reason;
+    log.server = open_http_server(*loop,
+                                  {.address = args["--address"].asString(),
+                                   .port = static_cast<std::uint16_t>(args["--port"].asLong())},
+                                  {.on_request = [&](request_id id, const http_request& request)
+                                   { handle(log, id, request); },
+                                   .on_cancelled = {}},
+                                  reason);
+    if (!log.server)
+    {
+        std::cerr << describe(reason) << "\n";
+        return 1;
+    }
+    constexpr time_ms wait_check_ms = 50;
+    run_every(*loop, wait_check_ms, [&] { answer_waiting(log); });
+    on_terminate(*loop, [&] { stop(*loop); });
+    std::cout << "port=" << bound_port(*log.server) << std::endl;
+    run(*loop);
+    log.server.reset();
+    return 0;
+}
--- /dev/null
+++ b/support/standin_upstream.cpp
@@ -0,0 +1,274 @@
+// Stand-in for an upstream: announces itself to the daemon of its VM, serves calls with a set
+// number of slots, counts how often each request ran, and misbehaves on request.
+
+#include "sardinepoint/event_loop.hpp"
+#include "sardinepoint/http_client.hpp"
+#include "sardinepoint/http_server.hpp"
+#include "sardinepoint/logging.hpp"
+
+#include <docopt/docopt.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr const char* usage = R"(Stand-in for an upstream.
+
+Usage:
+  standin_upstream --service=NAME --version=V --daemon=ENDPOINT [options]
+
+Options:
+  --service=NAME        Service that the upstream belongs to.
+  --version=V           Version of the upstream.
+  --daemon=ENDPOINT     Control endpoint of the daemon on the same VM.
+  --address=IP          Address to listen on [default: 127.0.0.1].
+  --port=N              Port to listen on, 0 takes a free one [default: 0].
+  --slots=N             Calls that run at the same time [default: 15].
+  --connections=N       Connections that are accepted [default: 130].
+  --work-ms=N           Time that one call takes [default: 5].
+  --announce-ms=N       Interval of the announcements [default: 500].
+)";
+
+/** How the upstream misbehaves. */
+struct behaviour
+{
+    time_ms work = 5;
+    /** Probability of answering 500. */
+    double failure_rate = 0;
+    /** Calls whose path starts with this fail; empty: the failure rate is for all calls. */
+    std::string failing_prefix;
+    /** Factor on the time of a call. */
+    double slow_factor = 1;
+    /** Load that is announced; negative: the real one. */
+    int announced_load = -1;
+    /** Time added to every answer after the work is done. */
+    time_ms late = 0;
+    /** Body that makes the process abort; empty: none. */
+    std::string crash_body;
+    std::string state = "up";
+};
+
+struct upstream
+{
+    event_loop* loop = nullptr;
+    http_server_ptr server;
+    http_client_ptr client;
+    std::string service;
+    std::string version;
+    std::string daemon;
+    std::string address;
+    int slots = 0;
+    int connections = 0;
+    int running = 0;
+    int most_running = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t over_slots = 0;
+    time_ms last_call = 0;
+    std::set<std::uint64_t> active;
+    /** How often each request with a Request-Id header ran. */
+    std::map<std::string, int> runs;
+    behaviour behave;
+    std::mt19937_64 random{std::random_device{}()};
+};
+
+void announce(upstream& self)
+{
+    const int load = self.behave.announced_load >= 0 ? self.behave.announced_load : self.running;
+    const json body{{"service", self.service},
+                    {"version", self.version},
+                    {"address", self.address},
+                    {"port", bound_port(*self.server)},
+                    {"slots", self.slots},
+                    {"connections", self.connections},
+                    {"load", load},
+                    {"state", self.behave.state}};
+    send_request(*self.client,
+                 {.method = "POST",
+                  .url = "http://" + self.daemon + "/v1/announce",
+                  .headers = {{"Content-Type", "application/json"}},
+                  .body = body.dump(),
+                  .timeout = 1000},
+                 [](const http_result& answer)
+                 {
+                     if (answer.outcome != call_outcome::answered || answer.response.status != 200)
+                     {
+                         log_event(log_level::warning, "announce_failed",
+                                   {{"reason", answer.reason}, {"status", answer.response.status}});
+                     }
+                 });
+}
+
+bool fails(upstream& self, std::string_view path)
+{
+    const std::string& prefix = self.behave.failing_prefix;
+    const bool concerned = prefix.empty() || path.substr(0, prefix.size()) == prefix;
+    return concerned &&
+           std::uniform_real_distribution<double>(0, 1)(self.random) < self.behave.failure_rate;
+}
+
+void finish(upstream& self, request_id id, const http_request& request)
+{
+    if (self.active.erase(id.value) == 0)
+    {
+        return;
+    }
+    --self.running;
+    const bool failed = fails(self, path_of(request.target));
+    const json body{{"service", self.service},
+                    {"version", self.version},
+                    {"port", bound_port(*self.server)},
+                    {"method", request.method},
+                    {"target", request.target},
+                    {"request_id", find_header(request.headers, "Request-Id").value_or("")},
+                    {"echo", request.body}};
+    http_response response = json_response(failed ? 500 : 200, body.dump());
+    run_after(*self.loop, self.behave.late,
+              [&self, id, response = std::move(response)]
+              { send_reply(*self.server, id, response); });
+}
+
+void handle_call(upstream& self, request_id id, const http_request& request)
+{
+    if (!self.behave.crash_body.empty() && request.body == self.behave.crash_body)
+    {
+        std::_Exit(1);
+    }
+    ++self.calls;
+    self.last_call = wall_now();
+    if (const auto name = find_header(request.headers, "Request-Id"))
+    {
+        ++self.runs[std::string(*name)];
+    }
+    self.over_slots += self.running >= self.slots ? 1 : 0;
+    ++self.running;
+    self.most_running = std::max(self.most_running, self.running);
+    self.active.insert(id.value);
+    const auto work =
+        static_cast<time_ms>(static_cast<double>(self.behave.work) * self.behave.slow_factor);
+    if (work == 0)
+    {
+        finish(self, id, request);
+        return;
+    }
+    run_after(*self.loop, work, [&self, id, request] { finish(self, id, request); });
+}
+
+void handle_behaviour(upstream& self, request_id id, const std::string& text)
+{
+    const json wanted = json::parse(text, nullptr, false);
+    if (!wanted.is_object())
+    {
+        send_reply(*self.server, id, json_response(400, "{}"));
+        return;
+    }
+    behaviour& behave = self.behave;
+    behave.work = wanted.value("work_ms", behave.work);
+    behave.failure_rate = wanted.value("failure_rate", behave.failure_rate);
+    behave.failing_prefix = wanted.value("failing_prefix", behave.failing_prefix);
+    behave.slow_factor = wanted.value("slow_factor", behave.slow_factor);
+    behave.announced_load = wanted.value("announced_load", behave.announced_load);
+    behave.late = wanted.value("late_ms", behave.late);
+    behave.crash_body = wanted.value("crash_body", behave.crash_body);
+    behave.state = wanted.value("state", behave.state);
+    announce(self);
+    send_reply(*self.server, id, json_response(200, "{}"));
+}
+
+void handle_stats(upstream& self, request_id id)
+{
+    int most_runs = 0;
+    for (const auto& [name, count] : self.runs)
+    {
+        most_runs = std::max(most_runs, count);
+    }
+    const json body{{"calls", self.calls},
+                    {"cancelled", self.cancelled},
+                    {"running", self.running},
+                    {"most_running", self.most_running},
+                    {"over_slots", self.over_slots},
+                    {"connections", open_connections(*self.server)},
+                    {"last_call_ms", self.last_call},
+                    {"most_runs", most_runs},
+                    {"runs", self.runs}};
+    send_reply(*self.server, id, json_response(200, body.dump()));
+}
+
+void handle(upstream& self, request_id id, const http_request& request)
+{
+    const std::string_view path = path_of(request.target);
+    if (path == "/standin/behaviour")
+    {
+        handle_behaviour(self, id, request.body);
+        return;
+    }
+    if (path == "/standin/stats")
+    {
+        handle_stats(self, id);
+        return;
+    }
+    handle_call(self, id, request);
+}
+
+void handle_cancelled(upstream& self, request_id id)
+{
+    if (self.active.erase(id.value) > 0)
+    {
+        --self.running;
+        ++self.cancelled;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    set_up_logging(log_level::info, "standin_upstream");
+    event_loop_ptr loop = make_event_loop();
+    upstream self;
+    self.loop = loop.get();
+    self.client = open_http_client(*loop, {});
+    self.service = args["--service"].asString();
+    self.version = args["--version"].asString();
+    self.daemon = args["--daemon"].asString();
+    self.address = args["--address"].asString();
+    self.slots = static_cast<int>(args["--slots"].asLong());
+    self.connections = static_cast<int>(args["--connections"].asLong());
+    self.behave.work = args["--work-ms"].asLong();
+    error reason;
+    self.server = open_http_server(
+        *loop,
+        {.address = self.address, .port = static_cast<std::uint16_t>(args["--port"].asLong())},
+        {.on_request = [&](request_id id, const http_request& request)
+         { handle(self, id, request); },
+         .on_cancelled =
+             [&](request_id id)
+         {
+             handle_cancelled(self, id);
+         }},
+        reason);
+    if (!self.server)
+    {
+        std::cerr << describe(reason) << "\n";
+        return 1;
+    }
+    std::cout << "port=" << bound_port(*self.server) << std::endl;
+    announce(self);
+    run_every(*loop, args["--announce-ms"].asLong(), [&] { announce(self); });
+    on_terminate(*loop, [&] { stop(*loop); });
+    run(*loop);
+    self.server.reset();
+    self.client.reset();
+    return 0;
+}
