Limits, retries, outcome classes and quarantine

Cause: the data path needs hard limits per upstream, bounded retries and a proof of "not run" as pure functions that the proxy can call.

Change: limits.hpp holds slots and connections of one upstream with a bounded queue, a retry budget, the classification of attempts, deadline and depth arithmetic for hops, and the quarantine table for requests that crash upstreams. Crash times are wall clock, because entries are merged between daemons by maximum.

Conclusion: an outcome header counts only from a daemon; a missing or garbled one is an unknown outcome.

--- /dev/null
+++ b/src/limits.cpp
@@ -0,0 +1,349 @@
+#include "sardinepoint/limits.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace sardinepoint
+{
+namespace
+{
+
+// Until a hold time is known, the queue's length alone decides.
+double expected_wait(const upstream_slots& upstream)
+{
+    const double ahead = static_cast<double>(upstream.waiting.size()) + 1;
+    return ahead * upstream.hold_ms / std::max(upstream.options.slots, 1);
+}
+
+run_outcome parse_outcome(std::optional<std::string_view> header)
+{
+    if (header == to_string(run_outcome::answered))
+    {
+        return run_outcome::answered;
+    }
+    if (header == to_string(run_outcome::not_run))
+    {
+        return run_outcome::not_run;
+    }
+    // A missing or garbled header proves nothing.
+    return run_outcome::unknown;
+}
+
+run_outcome outcome_of(const attempt_facts& facts)
+{
+    switch (facts.outcome)
+    {
+    case call_outcome::not_sent:
+        return run_outcome::not_run;
+    case call_outcome::answered:
+        return facts.from_daemon ? parse_outcome(facts.outcome_header) : run_outcome::answered;
+    case call_outcome::unknown:
+        break;
+    }
+    return run_outcome::unknown;
+}
+
+bool has_expired(const crash_entry& entry, time_ms wall_now)
+{
+    return wall_now - entry.last_crash >= quarantine_time;
+}
+
+// Makes room for an entry by removing the one whose last crash is oldest.
+void make_room(quarantine_table& table, time_ms wall_now)
+{
+    if (table.entries.size() < table.max_entries)
+    {
+        return;
+    }
+    expire_crashes(table, wall_now);
+    while (!table.entries.empty() && table.entries.size() >= table.max_entries)
+    {
+        table.entries.erase(std::ranges::min_element(
+            table.entries, {}, [](const auto& item) { return item.second.last_crash; }));
+    }
+}
+
+crash_entry& entry_for(quarantine_table& table, std::uint64_t fingerprint, time_ms wall_now)
+{
+    const auto position = table.entries.find(fingerprint);
+    if (position != table.entries.end())
+    {
+        if (has_expired(position->second, wall_now))
+        {
+            position->second.crashes.clear();
+        }
+        return position->second;
+    }
+    make_room(table, wall_now);
+    crash_entry& added = table.entries[fingerprint];
+    added.fingerprint = fingerprint;
+    return added;
+}
+
+} // namespace
+
+bool take_tokens(token_bucket& bucket, double count, time_ms now)
+{
+    constexpr double ms_per_second = 1000;
+    const auto elapsed = static_cast<double>(std::max<time_ms>(now - bucket.refilled, 0));
+    const double earned = elapsed * bucket.rate_per_second / ms_per_second;
+    bucket.tokens = std::min(bucket.tokens + earned, bucket.capacity);
+    bucket.refilled = std::max(bucket.refilled, now);
+    if (bucket.tokens < count)
+    {
+        return false;
+    }
+    bucket.tokens -= count;
+    return true;
+}
+
+std::string_view to_string(slot_decision decision)
+{
+    switch (decision)
+    {
+    case slot_decision::run:
+        return "run";
+    case slot_decision::wait:
+        return "wait";
+    case slot_decision::queue_full:
+        return "queue_full";
+    case slot_decision::deadline_too_short:
+        return "deadline_too_short";
+    }
+    return "unknown";
+}
+
+slot_decision try_acquire_slot(upstream_slots& upstream, std::uint64_t call, time_ms time_left,
+                               time_ms now)
+{
+    if (time_left <= 0)
+    {
+        return slot_decision::deadline_too_short;
+    }
+    // A slot is only ever free when every waiting call has used up its time.
+    if (upstream.slots_used < upstream.options.slots)
+    {
+        upstream.slots_used += 1;
+        return slot_decision::run;
+    }
+    if (std::cmp_greater_equal(upstream.waiting.size(), upstream.options.max_queue))
+    {
+        return slot_decision::queue_full;
+    }
+    const double longest_wait = static_cast<double>(time_left) * upstream.options.queue_part;
+    if (expected_wait(upstream) > longest_wait)
+    {
+        return slot_decision::deadline_too_short;
+    }
+    upstream.waiting.push_back({.call = call, .give_up = now + static_cast<time_ms>(longest_wait)});
+    return slot_decision::wait;
+}
+
+std::optional<std::uint64_t> release_slot(upstream_slots& upstream, time_ms held, time_ms now)
+{
+    const double gain = upstream.hold_ms > 0 ? upstream.options.hold_gain : 1;
+    upstream.hold_ms += gain * (static_cast<double>(held) - upstream.hold_ms);
+    upstream.slots_used = std::max(upstream.slots_used - 1, 0);
+    if (upstream.slots_used >= upstream.options.slots)
+    {
+        return std::nullopt;
+    }
+    // Calls whose time is up stay queued for expire_waiting, which reports them.
+    const auto next = std::ranges::find_if(upstream.waiting, [now](const waiting_call& waiting)
+                                           { return now < waiting.give_up; });
+    if (next == upstream.waiting.end())
+    {
+        return std::nullopt;
+    }
+    const std::uint64_t call = next->call;
+    upstream.waiting.erase(next);
+    upstream.slots_used += 1;
+    return call;
+}
+
+std::vector<std::uint64_t> expire_waiting(upstream_slots& upstream, time_ms now)
+{
+    std::vector<std::uint64_t> expired;
+    std::erase_if(upstream.waiting,
+                  [&](const waiting_call& waiting)
+                  {
+                      if (now < waiting.give_up)
+                      {
+                          return false;
+                      }
+                      expired.push_back(waiting.call);
+                      return true;
+                  });
+    return expired;
+}
+
+bool cancel_waiting(upstream_slots& upstream, std::uint64_t call)
+{
+    return std::erase_if(upstream.waiting,
+                         [call](const waiting_call& waiting) { return waiting.call == call; }) > 0;
+}
+
+bool try_acquire_connection(upstream_slots& upstream)
+{
+    if (upstream.connections_used >= upstream.options.connections)
+    {
+        return false;
+    }
+    upstream.connections_used += 1;
+    return true;
+}
+
+void release_connection(upstream_slots& upstream)
+{
+    upstream.connections_used = std::max(upstream.connections_used - 1, 0);
+}
+
+void note_call(retry_budget& budget)
+{
+    token_bucket& bucket = budget.bucket;
+    bucket.tokens = std::min(bucket.tokens + budget.retries_per_call, bucket.capacity);
+}
+
+bool may_retry(retry_budget& budget, time_ms now)
+{
+    return take_tokens(budget.bucket, 1, now);
+}
+
+std::string_view to_string(run_outcome outcome)
+{
+    switch (outcome)
+    {
+    case run_outcome::answered:
+        return "answered";
+    case run_outcome::not_run:
+        return "not-run";
+    case run_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+failure_class classify_failure(const attempt_facts& facts)
+{
+    const run_outcome outcome = outcome_of(facts);
+    const bool safe =
+        outcome == run_outcome::not_run || (outcome == run_outcome::unknown && facts.idempotent);
+    return {.outcome = outcome, .retry_allowed = safe && facts.time_left >= facts.min_attempt};
+}
+
+std::optional<hop_limits> next_hop(const hop_limits& arrived, time_ms elapsed, error& reason)
+{
+    const hop_limits next{
+        .time_left = arrived.time_left - std::max<time_ms>(elapsed, 0) - hop_margin,
+        .depth = arrived.depth + 1,
+    };
+    if (next.depth > max_call_depth)
+    {
+        reason = {.kind = error_kind::invalid_argument,
+                  .message = "the call chain is too deep",
+                  .remedy = "look for a loop between services"};
+        return std::nullopt;
+    }
+    if (next.time_left <= 0)
+    {
+        reason = {.kind = error_kind::expired,
+                  .message = "the deadline leaves no time for another hop",
+                  .remedy = "send the call with a longer deadline"};
+        return std::nullopt;
+    }
+    return next;
+}
+
+time_ms attempt_timeout(time_ms time_left, bool idempotent)
+{
+    // Shorter attempts would fail calls that are only slow.
+    constexpr time_ms shortest = 50;
+    if (!idempotent)
+    {
+        return time_left;
+    }
+    const auto part = static_cast<time_ms>(static_cast<double>(time_left) * attempt_part);
+    return std::min(time_left, std::max(part, shortest));
+}
+
+time_ms retry_delay(int retry, std::mt19937_64& rng)
+{
+    constexpr int max_doublings = 4;
+    constexpr time_ms base = 4;
+    const time_ms longest = base << std::clamp(retry - 1, 0, max_doublings);
+    return std::uniform_int_distribution<time_ms>(longest / 2, longest)(rng);
+}
+
+std::uint64_t request_fingerprint(std::string_view method, std::string_view path,
+                                  std::string_view body)
+{
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state{XXH3_createState(),
+                                                                         &XXH3_freeState};
+    XXH3_64bits_reset(state.get());
+    for (const std::string_view part : {method, path, body})
+    {
+        // The length keeps different splits of the same bytes apart.
+        const std::uint64_t size = part.size();
+        XXH3_64bits_update(state.get(), &size, sizeof(size));
+        XXH3_64bits_update(state.get(), part.data(), part.size());
+    }
+    return XXH3_64bits_digest(state.get());
+}
+
+crash_entry record_crash(quarantine_table& table, std::uint64_t fingerprint,
+                         std::string_view upstream, time_ms wall_now)
+{
+    crash_entry& entry = entry_for(table, fingerprint, wall_now);
+    const std::string name{upstream};
+    if (entry.crashes.contains(name) || entry.crashes.size() < table.max_upstreams)
+    {
+        entry.crashes[name] += 1;
+    }
+    entry.last_crash = std::max(entry.last_crash, wall_now);
+    return entry;
+}
+
+bool merge_crash(quarantine_table& table, const crash_entry& entry, time_ms wall_now)
+{
+    if (has_expired(entry, wall_now))
+    {
+        return false;
+    }
+    crash_entry& own = entry_for(table, entry.fingerprint, wall_now);
+    bool changed = false;
+    for (const auto& [upstream, count] : entry.crashes)
+    {
+        const auto position = own.crashes.find(upstream);
+        if (position == own.crashes.end() && own.crashes.size() >= table.max_upstreams)
+        {
+            continue;
+        }
+        std::uint32_t& known = own.crashes[upstream];
+        changed = changed || count > known;
+        known = std::max(known, count);
+    }
+    // A sender's clock that runs ahead must not lengthen the quarantine.
+    const time_ms crashed = std::min(entry.last_crash, wall_now);
+    changed = changed || crashed > own.last_crash;
+    own.last_crash = std::max(own.last_crash, crashed);
+    return changed;
+}
+
+bool is_quarantined(const quarantine_table& table, std::uint64_t fingerprint, time_ms wall_now)
+{
+    const auto position = table.entries.find(fingerprint);
+    return position != table.entries.end() &&
+           position->second.crashes.size() >= quarantine_upstreams &&
+           !has_expired(position->second, wall_now);
+}
+
+void expire_crashes(quarantine_table& table, time_ms wall_now)
+{
+    std::erase_if(table.entries,
+                  [wall_now](const auto& item) { return has_expired(item.second, wall_now); });
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/test/limits-test.cpp
@@ -0,0 +1,288 @@
+#define BOOST_TEST_MODULE limits
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "sardinepoint/limits.hpp"
+
+#include <ostream>
+
+using namespace sardinepoint;
+namespace data = boost::unit_test::data;
+
+namespace sardinepoint
+{
+
+std::ostream& operator<<(std::ostream& out, run_outcome outcome)
+{
+    return out << to_string(outcome);
+}
+
+std::ostream& operator<<(std::ostream& out, slot_decision decision)
+{
+    return out << to_string(decision);
+}
+
+} // namespace sardinepoint
+
+namespace
+{
+
+struct classify_case
+{
+    const char* failure;
+    attempt_facts facts;
+    run_outcome outcome;
+    bool retry;
+};
+
+std::ostream& operator<<(std::ostream& out, const classify_case& value)
+{
+    return out << value.failure;
+}
+
+constexpr time_ms enough = 500;
+
+const classify_case classify_cases[] = {
+    {"a call that was never sent is reported as possibly run",
+     {.outcome = call_outcome::not_sent, .idempotent = false, .time_left = enough},
+     run_outcome::not_run,
+     true},
+    {"a broken connection makes a non-idempotent call run twice",
+     {.outcome = call_outcome::unknown, .idempotent = false, .time_left = enough},
+     run_outcome::unknown,
+     false},
+    {"an idempotent call is lost with one upstream",
+     {.outcome = call_outcome::unknown, .idempotent = true, .time_left = enough},
+     run_outcome::unknown,
+     true},
+    {"a daemon's refusal is not retried",
+     {.outcome = call_outcome::answered,
+      .outcome_header = "not-run",
+      .idempotent = false,
+      .time_left = enough},
+     run_outcome::not_run,
+     true},
+    {"a daemon's answer without the header counts as proof",
+     {.outcome = call_outcome::answered, .idempotent = false, .time_left = enough},
+     run_outcome::unknown,
+     false},
+    {"a garbled header counts as proof of not run",
+     {.outcome = call_outcome::answered,
+      .outcome_header = "not-run, answered",
+      .idempotent = false,
+      .time_left = enough},
+     run_outcome::unknown,
+     false},
+    {"an upstream's own header is believed and the call runs twice",
+     {.outcome = call_outcome::answered,
+      .from_daemon = false,
+      .outcome_header = "not-run",
+      .idempotent = false,
+      .time_left = enough},
+     run_outcome::answered,
+     false},
+    {"an answered call is repeated",
+     {.outcome = call_outcome::answered,
+      .outcome_header = "answered",
+      .idempotent = true,
+      .time_left = enough},
+     run_outcome::answered,
+     false},
+    {"a daemon's unknown outcome is taken for not run",
+     {.outcome = call_outcome::answered,
+      .outcome_header = "unknown",
+      .idempotent = false,
+      .time_left = enough},
+     run_outcome::unknown,
+     false},
+    {"a retry starts when the deadline is used up",
+     {.outcome = call_outcome::not_sent, .idempotent = true, .time_left = 3},
+     run_outcome::not_run,
+     false},
+};
+
+upstream_slots make_slots(int slots, int queue)
+{
+    return {.options = {.slots = slots, .connections = 2, .max_queue = queue}};
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(classifies_attempts, data::make(classify_cases), value)
+{
+    const failure_class result = classify_failure(value.facts);
+    BOOST_TEST(result.outcome == value.outcome);
+    BOOST_TEST(result.retry_allowed == value.retry);
+}
+
+// Guards against more calls on an upstream than it has slots, and against an unbounded queue.
+BOOST_AUTO_TEST_CASE(slots_and_queue_are_hard_limits)
+{
+    upstream_slots upstream = make_slots(2, 1);
+    BOOST_TEST(try_acquire_slot(upstream, 1, 1000, 0) == slot_decision::run);
+    BOOST_TEST(try_acquire_slot(upstream, 2, 1000, 0) == slot_decision::run);
+    BOOST_TEST(try_acquire_slot(upstream, 3, 1000, 0) == slot_decision::wait);
+    BOOST_TEST(try_acquire_slot(upstream, 4, 1000, 0) == slot_decision::queue_full);
+    BOOST_TEST(release_slot(upstream, 10, 10).value_or(0) == 3U);
+    BOOST_TEST(upstream.slots_used == 2);
+    BOOST_TEST(!release_slot(upstream, 10, 20).has_value());
+    BOOST_TEST(upstream.slots_used == 1);
+}
+
+// Guards against a call that waits for a slot until its deadline has passed.
+BOOST_AUTO_TEST_CASE(waiting_takes_a_part_of_the_deadline)
+{
+    upstream_slots upstream = make_slots(1, 4);
+    BOOST_TEST(try_acquire_slot(upstream, 1, 1000, 0) == slot_decision::run);
+    BOOST_TEST(try_acquire_slot(upstream, 2, 1000, 0) == slot_decision::wait);
+    BOOST_TEST(expire_waiting(upstream, 249).empty());
+    BOOST_TEST(expire_waiting(upstream, 250) == std::vector<std::uint64_t>{2},
+               boost::test_tools::per_element());
+    BOOST_TEST(!release_slot(upstream, 300, 300).has_value());
+    BOOST_TEST(try_acquire_slot(upstream, 3, 0, 300) == slot_decision::deadline_too_short);
+}
+
+// Guards against queueing a call that can't get a slot in time by what is known.
+BOOST_AUTO_TEST_CASE(a_deadline_that_cannot_be_met_refuses_at_once)
+{
+    upstream_slots upstream = make_slots(1, 4);
+    BOOST_TEST(try_acquire_slot(upstream, 1, 1000, 0) == slot_decision::run);
+    release_slot(upstream, 400, 400);
+    BOOST_TEST(try_acquire_slot(upstream, 2, 1000, 400) == slot_decision::run);
+    BOOST_TEST(try_acquire_slot(upstream, 3, 1000, 400) == slot_decision::deadline_too_short);
+    BOOST_TEST(try_acquire_slot(upstream, 4, 2000, 400) == slot_decision::wait);
+}
+
+// Guards against a free slot that nobody gets because expired calls are still queued.
+BOOST_AUTO_TEST_CASE(expired_waiting_calls_block_nobody)
+{
+    upstream_slots upstream = make_slots(1, 4);
+    BOOST_TEST(try_acquire_slot(upstream, 1, 1000, 0) == slot_decision::run);
+    BOOST_TEST(try_acquire_slot(upstream, 2, 100, 0) == slot_decision::wait);
+    BOOST_TEST(!release_slot(upstream, 50, 50).has_value());
+    BOOST_TEST(try_acquire_slot(upstream, 3, 1000, 50) == slot_decision::run);
+    BOOST_TEST(!cancel_waiting(upstream, 3));
+    BOOST_TEST(cancel_waiting(upstream, 2));
+}
+
+// Guards against more connections to an upstream than it accepts.
+BOOST_AUTO_TEST_CASE(connections_are_a_hard_limit)
+{
+    upstream_slots upstream = make_slots(1, 1);
+    BOOST_TEST(try_acquire_connection(upstream));
+    BOOST_TEST(try_acquire_connection(upstream));
+    BOOST_TEST(!try_acquire_connection(upstream));
+    release_connection(upstream);
+    BOOST_TEST(try_acquire_connection(upstream));
+}
+
+// Guards against a retry storm when every call fails.
+BOOST_AUTO_TEST_CASE(retries_are_a_bounded_part_of_calls)
+{
+    constexpr int calls = 10'000;
+    retry_budget budget;
+    int retries = 0;
+    for (int call = 0; call < calls; ++call)
+    {
+        note_call(budget);
+        retries += may_retry(budget, 0) ? 1 : 0;
+    }
+    BOOST_TEST(retries <= calls * budget.retries_per_call + budget.bucket.capacity);
+    BOOST_TEST(retries >= calls * budget.retries_per_call * 0.99);
+}
+
+// Guards against a bucket that earns tokens while time stands still or steps back.
+BOOST_AUTO_TEST_CASE(token_bucket_earns_by_time_only)
+{
+    token_bucket bucket{.rate_per_second = 10, .capacity = 2, .tokens = 2, .refilled = 1000};
+    BOOST_TEST(take_tokens(bucket, 2, 1000));
+    BOOST_TEST(!take_tokens(bucket, 1, 500));
+    BOOST_TEST(!take_tokens(bucket, 1, 1050));
+    BOOST_TEST(take_tokens(bucket, 1, 1100));
+    BOOST_TEST(!take_tokens(bucket, 3, 100'000));
+}
+
+// Guards against call loops and against hops that outlive their caller.
+BOOST_AUTO_TEST_CASE(hops_use_up_time_and_depth)
+{
+    error reason;
+    const auto next = next_hop({.time_left = 100, .depth = 3}, 20, reason);
+    BOOST_TEST_REQUIRE(next.has_value());
+    BOOST_TEST(next->time_left == 100 - 20 - hop_margin);
+    BOOST_TEST(next->depth == 4);
+    BOOST_TEST(next_hop({.time_left = 100, .depth = max_call_depth - 1}, 0, reason).has_value());
+    BOOST_TEST(!next_hop({.time_left = 100, .depth = max_call_depth}, 0, reason).has_value());
+    BOOST_TEST(!next_hop({.time_left = 100, .depth = 0}, 100 - hop_margin, reason).has_value());
+    BOOST_TEST((reason.kind == error_kind::expired));
+}
+
+// Guards against an attempt that leaves an idempotent call no time for a retry.
+BOOST_DATA_TEST_CASE(attempts_leave_time, data::make({1, 40, 60, 1000, 60'000}), left)
+{
+    BOOST_TEST(attempt_timeout(left, false) == left);
+    BOOST_TEST(attempt_timeout(left, true) <= left);
+    BOOST_TEST((left < 100 || attempt_timeout(left, true) <= left / 2));
+}
+
+// Guards against requests that collide because the parts are only joined.
+BOOST_AUTO_TEST_CASE(fingerprints_tell_parts_apart)
+{
+    BOOST_TEST(request_fingerprint("GET", "/a", "b") == request_fingerprint("GET", "/a", "b"));
+    BOOST_TEST(request_fingerprint("GET", "/a", "b") != request_fingerprint("GET", "/ab", ""));
+    BOOST_TEST(request_fingerprint("GET", "/a", "") != request_fingerprint("PUT", "/a", ""));
+}
+
+// Guards against one bad upstream quarantining a good request, and against eternal quarantine.
+BOOST_AUTO_TEST_CASE(two_upstreams_quarantine_a_request)
+{
+    quarantine_table table;
+    record_crash(table, 7, "a", 1000);
+    record_crash(table, 7, "a", 1100);
+    BOOST_TEST(!is_quarantined(table, 7, 1100));
+    record_crash(table, 7, "b", 2000);
+    BOOST_TEST(is_quarantined(table, 7, 2000));
+    BOOST_TEST(!is_quarantined(table, 8, 2000));
+    BOOST_TEST(is_quarantined(table, 7, 2000 + quarantine_time - 1));
+    BOOST_TEST(!is_quarantined(table, 7, 2000 + quarantine_time));
+    record_crash(table, 7, "c", 2000 + quarantine_time);
+    BOOST_TEST(!is_quarantined(table, 7, 2000 + quarantine_time));
+}
+
+// Guards against entries that never come to rest while they are spread, and count twice.
+BOOST_AUTO_TEST_CASE(merging_is_idempotent_and_ignores_order)
+{
+    quarantine_table left;
+    quarantine_table right;
+    const crash_entry first = record_crash(left, 7, "a", 1000);
+    const crash_entry second = record_crash(right, 7, "b", 1500);
+    BOOST_TEST(merge_crash(left, second, 1600));
+    BOOST_TEST(!merge_crash(left, second, 1700));
+    BOOST_TEST(merge_crash(right, first, 1600));
+    BOOST_TEST(is_quarantined(left, 7, 1700));
+    BOOST_TEST((left.entries.at(7).crashes == right.entries.at(7).crashes));
+    BOOST_TEST(left.entries.at(7).last_crash == right.entries.at(7).last_crash);
+}
+
+// Guards against a clock that runs ahead and quarantines a request for too long.
+BOOST_AUTO_TEST_CASE(crashes_in_the_future_count_as_now)
+{
+    quarantine_table table;
+    const crash_entry entry{
+        .fingerprint = 7, .crashes = {{"a", 1}, {"b", 1}}, .last_crash = 900'000};
+    BOOST_TEST(merge_crash(table, entry, 1000));
+    BOOST_TEST(!is_quarantined(table, 7, 1000 + quarantine_time));
+}
+
+// Guards against growth without bound when many different requests crash upstreams.
+BOOST_AUTO_TEST_CASE(quarantine_is_bounded_and_keeps_the_newest)
+{
+    quarantine_table table{.max_entries = 4};
+    for (std::uint64_t fingerprint = 0; fingerprint < 100; ++fingerprint)
+    {
+        record_crash(table, fingerprint, "a", static_cast<time_ms>(fingerprint));
+    }
+    BOOST_TEST(table.entries.size() == 4U);
+    BOOST_TEST(table.entries.contains(99));
+    BOOST_TEST(!table.entries.contains(95));
+}
