Idempotency keys and their table

Cause: a non-idempotent request must run at most once, across resent requests, clock steps and forged keys.

Change: idempotency.hpp issues and parses keys and keeps one entry per used key until the key has expired. The issue time is recorded per 100 ms, so that a changed time in a key can't outlive its entry. Fields are split from the right; the id may contain dots.

--- /dev/null
+++ b/include/sardinepoint/idempotency.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+#include "sardinepoint/http.hpp"
+#include "sardinepoint/limits.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sardinepoint
+{
+
+/**
+ * Names one call and the daemon that alone may run it, as `id.incarnation.issued_ms.sequence`.
+ * The last three fields are decimal numbers, so the id may itself contain dots.
+ */
+struct idempotency_key
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+    time_ms issued_ms = 0;
+    std::uint64_t sequence = 0;
+
+    bool operator==(const idempotency_key&) const = default;
+};
+
+/** The key's text. */
+std::string to_string(const idempotency_key& key);
+
+/** Parses a key; accepts only the text that to_string writes. */
+std::optional<idempotency_key> parse_key(std::string_view text, error& reason);
+
+inline constexpr time_ms key_lifetime = 600'000;
+
+/** Issue times are rounded down to this, which bounds the record of issued keys. */
+inline constexpr time_ms key_issue_step = 100;
+
+struct key_table_options
+{
+    std::size_t max_entries = 100'000;
+    /** Stored answers in total, with headers. */
+    std::size_t max_answer_bytes = 32U << 20U;
+};
+
+enum class key_state
+{
+    running,
+    answered,
+    unknown,
+};
+
+struct key_entry
+{
+    key_state state = key_state::running;
+    /** Fingerprint of the request that the key was first used with. */
+    std::uint64_t fingerprint = 0;
+    time_ms expires = 0;
+    /** Empty if dropped. */
+    std::optional<http_response> answer;
+    std::size_t answer_bytes = 0;
+};
+
+/** Keys from this sequence number on were issued at this time. */
+struct issue_mark
+{
+    std::uint64_t first_sequence = 0;
+    time_ms issued_ms = 0;
+};
+
+/** Keys of one daemon and incarnation. The times of one table come from one clock. */
+struct key_table
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+    key_table_options options;
+    std::uint64_t next_sequence = 0;
+    /** Latest time seen; a clock that steps back must not revive expired keys. */
+    time_ms latest = 0;
+    std::deque<issue_mark> issued;
+    std::map<std::uint64_t, key_entry> entries;
+    /** Sequence numbers with a stored answer, oldest answer first. */
+    std::deque<std::uint64_t> stored_answers;
+    std::size_t answer_bytes = 0;
+};
+
+/** Issues a key that no earlier call returned. */
+idempotency_key issue_key(key_table& table, time_ms now);
+
+enum class begin_status
+{
+    /** The caller of begin_call must run the request and then call finish_call. */
+    run,
+    in_progress,
+    /** The stored answer is the answer. */
+    finished,
+    /** The request was answered, but the answer isn't stored any more. */
+    finished_answer_dropped,
+    /** An attempt ended without a known outcome; the key never runs again. */
+    outcome_unknown,
+    expired,
+    /** Another daemon or another incarnation issued the key. */
+    not_owner,
+    /** The key names this incarnation, which never issued it. */
+    never_issued,
+    /** The key was used before with another request. */
+    other_request,
+    /** No room for another entry; the request was not run. */
+    table_full,
+};
+
+std::string_view to_string(begin_status status);
+
+struct begin_result
+{
+    begin_status status = begin_status::not_owner;
+    /** Set for finished. */
+    std::optional<http_response> answer;
+};
+
+/** Decides what to do with a request that carries the key. */
+begin_result begin_call(key_table& table, const idempotency_key& key, time_ms now,
+                        std::uint64_t fingerprint = 0);
+
+/** Ends the attempt that begin_call allowed. Only a call proven not run may run again. */
+void finish_call(key_table& table, const idempotency_key& key, run_outcome outcome,
+                 std::optional<http_response> answer, time_ms now);
+
+/** Drops entries of expired keys. begin_call does this too. */
+void drop_expired_keys(key_table& table, time_ms now);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/idempotency.cpp
@@ -0,0 +1,288 @@
+#include "sardinepoint/idempotency.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sardinepoint
+{
+namespace
+{
+
+// Decimal digits without sign and leading zero, so that one number has one text.
+template <class Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    if (text.empty() || text.front() < '0' || text.front() > '9' ||
+        (text.size() > 1 && text.front() == '0'))
+    {
+        return std::nullopt;
+    }
+    Number value = 0;
+    const char* end = text.data() + text.size();
+    const auto [position, status] = std::from_chars(text.data(), end, value);
+    if (status != std::errc{} || position != end)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+// Cuts the field after the last dot off the text.
+std::optional<std::string_view> take_last_field(std::string_view& text)
+{
+    const std::size_t dot = text.rfind('.');
+    if (dot == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const std::string_view field = text.substr(dot + 1);
+    text = text.substr(0, dot);
+    return field;
+}
+
+bool is_id(std::string_view text)
+{
+    constexpr std::size_t longest = 128;
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                         "0123456789._-:";
+    return !text.empty() && text.size() <= longest &&
+           text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+time_ms advance(key_table& table, time_ms now)
+{
+    table.latest = std::max(table.latest, now);
+    return table.latest;
+}
+
+bool has_expired(time_ms issued_ms, time_ms now)
+{
+    return now - issued_ms >= key_lifetime;
+}
+
+// Issue time of a sequence number; empty if its mark was dropped because it has expired.
+std::optional<time_ms> issue_time(const key_table& table, std::uint64_t sequence)
+{
+    const auto after =
+        std::ranges::upper_bound(table.issued, sequence, {}, &issue_mark::first_sequence);
+    if (after == table.issued.begin())
+    {
+        return std::nullopt;
+    }
+    return std::prev(after)->issued_ms;
+}
+
+std::size_t size_of(const http_response& answer)
+{
+    std::size_t size = sizeof(http_response) + answer.body.size();
+    for (const http_header& header : answer.headers)
+    {
+        size += sizeof(http_header) + header.name.size() + header.value.size();
+    }
+    return size;
+}
+
+void drop_answer(key_table& table, key_entry& entry)
+{
+    table.answer_bytes -= entry.answer_bytes;
+    entry.answer_bytes = 0;
+    entry.answer.reset();
+}
+
+void drop_oldest_answer(key_table& table)
+{
+    const std::uint64_t sequence = table.stored_answers.front();
+    table.stored_answers.pop_front();
+    const auto position = table.entries.find(sequence);
+    if (position != table.entries.end())
+    {
+        drop_answer(table, position->second);
+    }
+}
+
+void store_answer(key_table& table, std::uint64_t sequence, key_entry& entry, http_response answer)
+{
+    const std::size_t size = size_of(answer);
+    if (size > table.options.max_answer_bytes)
+    {
+        return;
+    }
+    while (table.answer_bytes + size > table.options.max_answer_bytes)
+    {
+        drop_oldest_answer(table);
+    }
+    entry.answer = std::move(answer);
+    entry.answer_bytes = size;
+    table.answer_bytes += size;
+    table.stored_answers.push_back(sequence);
+}
+
+begin_result repeat_of(const key_entry& entry, std::uint64_t fingerprint)
+{
+    if (entry.fingerprint != fingerprint)
+    {
+        return {.status = begin_status::other_request};
+    }
+    switch (entry.state)
+    {
+    case key_state::running:
+        return {.status = begin_status::in_progress};
+    case key_state::unknown:
+        return {.status = begin_status::outcome_unknown};
+    case key_state::answered:
+        break;
+    }
+    if (!entry.answer)
+    {
+        return {.status = begin_status::finished_answer_dropped};
+    }
+    return {.status = begin_status::finished, .answer = entry.answer};
+}
+
+} // namespace
+
+std::string to_string(const idempotency_key& key)
+{
+    return fmt::format("{}.{}.{}.{}", key.id, key.incarnation, key.issued_ms, key.sequence);
+}
+
+std::optional<idempotency_key> parse_key(std::string_view text, error& reason)
+{
+    const auto sequence_text = take_last_field(text);
+    const auto issued_text = sequence_text ? take_last_field(text) : std::nullopt;
+    const auto incarnation_text = issued_text ? take_last_field(text) : std::nullopt;
+    if (incarnation_text && is_id(text))
+    {
+        const auto incarnation = parse_number<std::uint64_t>(*incarnation_text);
+        const auto issued_ms = parse_number<time_ms>(*issued_text);
+        const auto sequence = parse_number<std::uint64_t>(*sequence_text);
+        if (incarnation && issued_ms && sequence)
+        {
+            return idempotency_key{.id = std::string{text},
+                                   .incarnation = *incarnation,
+                                   .issued_ms = *issued_ms,
+                                   .sequence = *sequence};
+        }
+    }
+    reason = {.kind = error_kind::invalid_argument,
+              .message = "the idempotency key is malformed",
+              .remedy = "get a key from a daemon with GET /v1/keys"};
+    return std::nullopt;
+}
+
+idempotency_key issue_key(key_table& table, time_ms now)
+{
+    const time_ms latest = advance(table, now);
+    const time_ms issued_ms = latest - latest % key_issue_step;
+    if (table.issued.empty() || table.issued.back().issued_ms != issued_ms)
+    {
+        drop_expired_keys(table, latest);
+        table.issued.push_back({.first_sequence = table.next_sequence, .issued_ms = issued_ms});
+    }
+    return {.id = table.id,
+            .incarnation = table.incarnation,
+            .issued_ms = issued_ms,
+            .sequence = table.next_sequence++};
+}
+
+std::string_view to_string(begin_status status)
+{
+    constexpr std::array<std::string_view, 10> names{
+        "run",     "in_progress", "finished",     "finished_answer_dropped", "outcome_unknown",
+        "expired", "not_owner",   "never_issued", "other_request",           "table_full"};
+    return names.at(static_cast<std::size_t>(status));
+}
+
+begin_result begin_call(key_table& table, const idempotency_key& key, time_ms now,
+                        std::uint64_t fingerprint)
+{
+    if (key.id != table.id || key.incarnation != table.incarnation)
+    {
+        return {.status = begin_status::not_owner};
+    }
+    if (key.sequence >= table.next_sequence)
+    {
+        return {.status = begin_status::never_issued};
+    }
+    const time_ms latest = advance(table, now);
+    // The recorded time decides: a forged one could outlive the entry and run the call again.
+    const auto issued_ms = issue_time(table, key.sequence);
+    if (!issued_ms || has_expired(*issued_ms, latest))
+    {
+        return {.status = begin_status::expired};
+    }
+    if (key.issued_ms != *issued_ms)
+    {
+        return {.status = begin_status::never_issued};
+    }
+    const auto position = table.entries.find(key.sequence);
+    if (position != table.entries.end())
+    {
+        return repeat_of(position->second, fingerprint);
+    }
+    drop_expired_keys(table, latest);
+    if (table.entries.size() >= table.options.max_entries)
+    {
+        return {.status = begin_status::table_full};
+    }
+    table.entries[key.sequence] = {.fingerprint = fingerprint,
+                                   .expires = *issued_ms + key_lifetime};
+    return {.status = begin_status::run};
+}
+
+void finish_call(key_table& table, const idempotency_key& key, run_outcome outcome,
+                 std::optional<http_response> answer, time_ms now)
+{
+    drop_expired_keys(table, now);
+    if (key.id != table.id || key.incarnation != table.incarnation)
+    {
+        return;
+    }
+    const auto position = table.entries.find(key.sequence);
+    if (position == table.entries.end() || position->second.state != key_state::running)
+    {
+        return;
+    }
+    key_entry& entry = position->second;
+    switch (outcome)
+    {
+    case run_outcome::not_run:
+        table.entries.erase(position);
+        return;
+    case run_outcome::unknown:
+        entry.state = key_state::unknown;
+        return;
+    case run_outcome::answered:
+        entry.state = key_state::answered;
+        if (answer)
+        {
+            store_answer(table, key.sequence, entry, std::move(*answer));
+        }
+        return;
+    }
+}
+
+void drop_expired_keys(key_table& table, time_ms now)
+{
+    const time_ms latest = advance(table, now);
+    // Entries are ordered by sequence number and so by time of expiry.
+    while (!table.entries.empty() && table.entries.begin()->second.expires <= latest)
+    {
+        drop_answer(table, table.entries.begin()->second);
+        table.entries.erase(table.entries.begin());
+    }
+    while (!table.issued.empty() && has_expired(table.issued.front().issued_ms, latest))
+    {
+        table.issued.pop_front();
+    }
+    while (!table.stored_answers.empty() && !table.entries.contains(table.stored_answers.front()))
+    {
+        table.stored_answers.pop_front();
+    }
+}
+
+} // namespace sardinepoint
