--- /dev/null
+++ b/include/sardinepoint/registry.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace sardinepoint
+{
+
+/** Plug-ins of one type by name. */
+template <class T>
+class registry
+{
+public:
+    using entry_map = std::map<std::string, T, std::less<>>;
+
+    /** Adds a plug-in; false if the name is taken. */
+    static bool add(std::string name, T value)
+    {
+        return mutable_entries().emplace(std::move(name), std::move(value)).second;
+    }
+
+    /** The plug-in of this name, or null. */
+    static const T* find(std::string_view name)
+    {
+        const auto position = entries().find(name);
+        return position == entries().end() ? nullptr : &position->second;
+    }
+
+    static const entry_map& entries()
+    {
+        return mutable_entries();
+    }
+
+private:
+    // Function-local, so that registrations in other translation units find it constructed.
+    static entry_map& mutable_entries()
+    {
+        static entry_map values;
+        return values;
+    }
+};
+
+/** A static object of this type adds a plug-in before main starts. */
+template <class T>
+struct registration
+{
+    registration(std::string name, T value)
+    {
+        registry<T>::add(std::move(name), std::move(value));
+    }
+};
+
+} // namespace sardinepoint
