--- a/include/sardinepoint/http_client.hpp
+++ b/include/sardinepoint/http_client.hpp
@@ -47,6 +47,8 @@
     time_ms connect_timeout = 1000;
     /** Whether the client may send the request a second time on its own. */
     bool repeatable = true;
+    /** Only opens a connection, to learn whether the peer accepts one. */
+    bool connect_only = false;
 };
 
 struct http_result
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -40,7 +40,6 @@
     time_ms lease = 2000;
     int max_slots = 1000;
     int max_connections = 1000;
-    time_ms default_timeout = 5000;
     time_ms queue_wait = 200;
     std::string balancing = "least_loaded";
     std::string verdict = "sequential";
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,207 @@
+#include "daemon.hpp"
+
+#include "ingress.hpp"
+#include "local_hop.hpp"
+#include "local_upstreams.hpp"
+#include "move_runtime.hpp"
+#include "node.hpp"
+#include "operator_api.hpp"
+#include "peering.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <tuple>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+constexpr time_ms replica_tick_ms = 50;
+constexpr time_ms lease_tick_ms = 100;
+constexpr time_ms slot_tick_ms = 5;
+constexpr time_ms shutdown_tick_ms = 20;
+// Gives the leaving record time to reach the failure domain, so that peers stop sending calls.
+constexpr time_ms least_shutdown_ms = 300;
+
+bool open_servers(node& self, error& reason)
+{
+    self.control_server = open_http_server(
+        *self.loop, {.address = self.config.address, .port = self.config.control_port},
+        {.on_request = [&self](request_id id, const http_request& request)
+         { handle_control_request(self, id, request); },
+         .on_cancelled = {}},
+        reason);
+    if (!self.control_server)
+    {
+        return false;
+    }
+    self.data_server = open_http_server(
+        *self.loop, {.address = self.config.address, .port = self.config.data_port},
+        {.on_request = [&self](request_id id, http_request request)
+         { handle_data_request(self, id, std::move(request)); },
+         .on_cancelled =
+             [&self](request_id id)
+         {
+             handle_data_cancelled(self, id);
+         }},
+        reason);
+    if (!self.data_server)
+    {
+        return false;
+    }
+    self.config.control_port = bound_port(*self.control_server);
+    self.config.data_port = bound_port(*self.data_server);
+    return true;
+}
+
+void set_up_state(node& self)
+{
+    self.incarnation = static_cast<std::uint64_t>(wall_now());
+    self.members.self_id = self.config.id;
+    self.keys.id =
+        self.config.id + "@" + to_string(endpoint{self.config.address, self.config.data_port});
+    self.keys.incarnation = self.incarnation;
+    self.balancing.policy = self.config.balancing;
+    self.data_client = open_http_client(*self.loop, {});
+    self.control_client = open_http_client(*self.loop, {});
+    self.log = {.http = self.control_client.get(),
+                .service = self.config.log,
+                .timeout = self.config.log_timeout,
+                .client_id = self.config.id};
+    publish_self_record(self);
+}
+
+void finish_shutdown(node& self, time_ms started)
+{
+    const time_ms elapsed = steady_now() - started;
+    const bool idle = calls_in_progress(self) == 0 && elapsed >= least_shutdown_ms;
+    const bool late = elapsed >= self.config.shutdown_timeout;
+    if (!idle && !late)
+    {
+        return;
+    }
+    log_event(idle ? log_level::info : log_level::warning, "shutdown_finished",
+              {{"calls_cut", static_cast<std::uint64_t>(calls_in_progress(self))},
+               {"elapsed_ms", elapsed}});
+    stop(*self.loop);
+}
+
+void begin_shutdown(node& self)
+{
+    if (self.leaving)
+    {
+        return;
+    }
+    self.leaving = true;
+    log_event(log_level::info, "shutdown_started",
+              {{"calls", static_cast<std::uint64_t>(calls_in_progress(self))}});
+    announce_leaving(self);
+    const time_ms started = steady_now();
+    run_every(*self.loop, shutdown_tick_ms, [&self, started] { finish_shutdown(self, started); });
+}
+
+void start_timers(node& self)
+{
+    run_every(*self.loop, replica_tick_ms, [&self] { tick_replica(self); });
+    run_every(*self.loop, lease_tick_ms, [&self] { expire_leases(self); });
+    run_every(*self.loop, slot_tick_ms, [&self] { expire_waiting_hops(self); });
+}
+
+} // namespace
+
+node::node() = default;
+node::~node() = default;
+
+member_record describe_self(const node& self)
+{
+    member_record record{.id = self.config.id,
+                         .incarnation = self.incarnation,
+                         .domain = self.config.domain,
+                         .region = self.config.region,
+                         .address = self.config.address,
+                         .data_port = self.config.data_port,
+                         .control_port = self.config.control_port,
+                         .served_offset = self.config_replica.state.next_offset,
+                         .served_version = self.config_replica.state.version};
+    record.state = self.leaving ? member_state::leaving : member_state::alive;
+    for (const auto& [key, upstream] : self.upstreams)
+    {
+        record.upstreams.push_back(upstream.record);
+        record.upstreams.back().state = effective_state(self, upstream);
+    }
+    return record;
+}
+
+void publish_self_record(node& self)
+{
+    member_record next = describe_self(self);
+    if (!self.config_replica.ready)
+    {
+        // A daemon that isn't ready refuses calls, so its upstreams are announced later.
+        next.upstreams.clear();
+    }
+    const auto identity = [](const upstream_record& upstream)
+    {
+        return std::tie(upstream.service, upstream.version, upstream.address, upstream.port,
+                        upstream.slots, upstream.connections, upstream.state);
+    };
+    const member_entry* published = find_member(self.members, self.config.id);
+    const bool same =
+        published != nullptr && published->record.state == next.state &&
+        std::equal(published->record.upstreams.begin(), published->record.upstreams.end(),
+                   next.upstreams.begin(), next.upstreams.end(),
+                   [&](const upstream_record& left, const upstream_record& right)
+                   { return identity(left) == identity(right); });
+    if (same)
+    {
+        return;
+    }
+    publish_self(self.members, std::move(next), steady_now());
+    spread_member(self, self.config.id);
+}
+
+std::uint64_t control_bytes(const node& self)
+{
+    return transferred_bytes(*self.control_client) + transferred_bytes(*self.control_server);
+}
+
+int run_daemon(const settings& config)
+{
+    event_loop_ptr loop = make_event_loop();
+    node self;
+    self.config = config;
+    self.loop = loop.get();
+    error reason;
+    if (!open_servers(self, reason))
+    {
+        std::cerr << "sardinepointd: " << describe(reason) << "\n";
+        return 1;
+    }
+    set_up_state(self);
+    std::cout << "data_port=" << self.config.data_port
+              << " control_port=" << self.config.control_port << std::endl;
+    log_event(log_level::info, "started",
+              {{"domain", self.config.domain},
+               {"data_port", static_cast<int>(self.config.data_port)},
+               {"control_port", static_cast<int>(self.config.control_port)}});
+    start_replica(self);
+    start_peering(self);
+    start_moves(self);
+    start_timers(self);
+    on_terminate(*loop, [&self] { begin_shutdown(self); });
+    run(*loop);
+    self.data_server.reset();
+    self.control_server.reset();
+    self.data_client.reset();
+    self.control_client.reset();
+    return 0;
+}
+
+} // namespace sardinepoint
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -283,6 +283,11 @@
     {
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     }
+    if (call.call.connect_only)
+    {
+        curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
 }
 
 } // namespace
--- /dev/null
+++ b/src/ingress.cpp
@@ -0,0 +1,724 @@
+#include "ingress.hpp"
+
+#include "call_headers.hpp"
+#include "endpoints.hpp"
+#include "local_hop.hpp"
+#include "move_runtime.hpp"
+#include "peering.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+constexpr int most_attempts = 4;
+constexpr std::int64_t us_per_ms = 1000;
+constexpr std::int64_t most_keys_per_request = 1000;
+constexpr double seconds_per_us = 1e-6;
+constexpr std::string_view keys_path = "/.sardinepoint/keys";
+
+/** What an attempt brought, whichever way it went. */
+struct attempt_result
+{
+    call_outcome transport = call_outcome::unknown;
+    /** Set if a daemon answered. */
+    std::optional<std::string> outcome_header;
+    http_response response;
+    std::string reason;
+    std::optional<int> load;
+    bool crashed = false;
+};
+
+void begin_attempt(node& self, std::uint64_t id);
+
+bool is_idempotent_method(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE" ||
+           method == "OPTIONS" || method == "TRACE";
+}
+
+http_response outcome_response(int status, run_outcome outcome, const error& reason)
+{
+    http_response response = error_response(status, reason);
+    set_header(response.headers, call_headers::outcome, std::string(to_string(outcome)));
+    set_header(response.headers, call_headers::reason, reason.message);
+    return response;
+}
+
+http_response not_run_response(std::string reason, std::string remedy)
+{
+    return outcome_response(503, run_outcome::not_run,
+                            {error_kind::not_ready, std::move(reason), std::move(remedy)});
+}
+
+http_response unknown_response(std::string reason)
+{
+    return outcome_response(504, run_outcome::unknown,
+                            {error_kind::outcome_unknown, std::move(reason),
+                             "ask the service whether the request took effect, or send it again "
+                             "with its Idempotency-Key"});
+}
+
+ingress_call* find_call(node& self, std::uint64_t id)
+{
+    const auto found = self.calls.find(id);
+    return found == self.calls.end() ? nullptr : found->second.get();
+}
+
+void finish_key(node& self, const ingress_call& call, run_outcome outcome,
+                const http_response& response)
+{
+    if (!call.key)
+    {
+        return;
+    }
+    std::optional<http_response> kept;
+    if (outcome == run_outcome::answered)
+    {
+        kept = response;
+    }
+    finish_call(self.keys, *call.key, outcome, std::move(kept), wall_now());
+}
+
+void answer_call(node& self, std::uint64_t id, run_outcome outcome, http_response response)
+{
+    auto entry = self.calls.extract(id);
+    if (entry.empty())
+    {
+        return;
+    }
+    const ingress_call& call = *entry.mapped();
+    finish_key(self, call, outcome, response);
+    const std::int64_t elapsed_us = steady_now_us() - call.arrived_us;
+    observe(self.stats, "call_seconds", static_cast<double>(elapsed_us) * seconds_per_us);
+    count(self.stats, "calls{outcome=\"" + std::string(to_string(outcome)) + "\"}");
+    log_event(log_level::info, "call",
+              {{"route", call.route},
+               {"service", call.service},
+               {"version", call.version},
+               {"upstream", call.target.member},
+               {"outcome", to_string(outcome)},
+               {"status", response.status},
+               {"attempts", call.attempts},
+               {"us", elapsed_us}});
+    send_reply(*self.data_server, call.id, std::move(response));
+}
+
+void answer_failure(node& self, std::uint64_t id, std::string reason)
+{
+    const ingress_call* call = find_call(self, id);
+    if (call == nullptr)
+    {
+        return;
+    }
+    if (call->may_have_run)
+    {
+        answer_call(self, id, run_outcome::unknown, unknown_response(std::move(reason)));
+        return;
+    }
+    answer_call(self, id, run_outcome::not_run,
+                not_run_response(std::move(reason), "send the request again later"));
+}
+
+time_ms time_left(const ingress_call& call)
+{
+    return call.deadline - steady_now();
+}
+
+/** A new version's server error is worth another try on the old version. */
+bool is_new_version_error(const node& self, const ingress_call& call, const http_response& answer)
+{
+    const auto moved = share_of_move(self, call.service);
+    return answer.status / 100 == 5 && moved && moved->to == call.version && call.idempotent &&
+           !call.avoid_new_version;
+}
+
+void retry(node& self, std::uint64_t id, bool refused)
+{
+    ingress_call& call = *find_call(self, id);
+    count(self.stats, "retries");
+    if (!refused)
+    {
+        begin_attempt(self, id);
+        return;
+    }
+    const time_ms delay = std::min(retry_delay(call.attempts, self.random), time_left(call));
+    call.retry_timer = run_after(*self.loop, std::max<time_ms>(delay, 0),
+                                 [&self, id]
+                                 {
+                                     if (ingress_call* waiting = find_call(self, id))
+                                     {
+                                         waiting->retry_timer.reset();
+                                         begin_attempt(self, id);
+                                     }
+                                 });
+}
+
+void note_attempt(node& self, ingress_call& call, const attempt_result& result,
+                  const failure_class& verdict)
+{
+    endpoint_candidate* candidate = find_candidate(self, call.service, call.version, call.target);
+    const time_ms now = steady_now();
+    const time_ms elapsed = now - call.attempt_started;
+    if (candidate != nullptr)
+    {
+        if (verdict.outcome == run_outcome::answered)
+        {
+            note_success(*candidate, self.balancing, elapsed, result.load, now);
+        }
+        else if (verdict.outcome == run_outcome::not_run && result.outcome_header)
+        {
+            note_refused(*candidate, self.balancing, result.load, now);
+        }
+        else
+        {
+            note_failure(*candidate, self.balancing, elapsed, now, self.random);
+        }
+    }
+    note_evidence(self, {.service = call.service,
+                         .route = call.route,
+                         .version = call.version,
+                         .outcome = verdict.outcome,
+                         .status = result.response.status,
+                         .elapsed = elapsed,
+                         .crashed = result.crashed});
+}
+
+void finish_answered(node& self, std::uint64_t id, attempt_result result)
+{
+    ingress_call& call = *find_call(self, id);
+    http_response response = std::move(result.response);
+    std::erase_if(response.headers,
+                  [](const http_header& header) { return is_hop_by_hop(header.name); });
+    set_header(response.headers, call_headers::outcome,
+               std::string(to_string(run_outcome::answered)));
+    set_header(response.headers, call_headers::version, call.version);
+    set_header(response.headers, call_headers::upstream, call.target.member);
+    answer_call(self, id, run_outcome::answered, std::move(response));
+}
+
+void finish_attempt(node& self, std::uint64_t id, attempt_result result)
+{
+    ingress_call* call = find_call(self, id);
+    if (call == nullptr)
+    {
+        return;
+    }
+    call->forwarded.reset();
+    call->local.reset();
+    std::optional<std::string_view> header;
+    if (result.outcome_header)
+    {
+        header = *result.outcome_header;
+    }
+    const failure_class verdict = classify_failure({.outcome = result.transport,
+                                                    .from_daemon = true,
+                                                    .outcome_header = header,
+                                                    .idempotent = call->idempotent,
+                                                    .time_left = time_left(*call)});
+    note_attempt(self, *call, result, verdict);
+    log_event(log_level::debug, "attempt",
+              {{"service", call->service},
+               {"upstream", call->target.member},
+               {"outcome", to_string(verdict.outcome)},
+               {"reason", result.reason}});
+    const bool attempts_left = call->attempts < most_attempts;
+    if (verdict.outcome == run_outcome::answered)
+    {
+        if (is_new_version_error(self, *call, result.response) && attempts_left &&
+            may_retry(self.retries, steady_now()))
+        {
+            call->avoid_new_version = true;
+            retry(self, id, false);
+            return;
+        }
+        finish_answered(self, id, std::move(result));
+        return;
+    }
+    call->may_have_run = call->may_have_run || verdict.outcome == run_outcome::unknown;
+    call->avoid_new_version = true;
+    // A request that crashes upstreams may take down one more, not each in turn.
+    const bool crash_limit = result.crashed && std::exchange(call->upstream_crashed, true);
+    if (verdict.retry_allowed && attempts_left && !crash_limit &&
+        may_retry(self.retries, steady_now()))
+    {
+        retry(self, id, verdict.outcome == run_outcome::not_run);
+        return;
+    }
+    answer_failure(self, id, result.reason.empty() ? "the upstream didn't answer" : result.reason);
+}
+
+std::vector<http_header> forward_headers(const ingress_call& call, std::string_view hop,
+                                         time_ms budget)
+{
+    std::vector<http_header> headers;
+    for (const http_header& header : call.request.headers)
+    {
+        if (!is_hop_by_hop(header.name) && !equal_header_name(header.name, "Host") &&
+            !equal_header_name(header.name, "Expect"))
+        {
+            headers.push_back(header);
+        }
+    }
+    set_header(headers, call_headers::hop, std::string(hop));
+    set_header(headers, call_headers::service, call.service);
+    set_header(headers, call_headers::version, call.version);
+    set_header(headers, call_headers::idempotent, call.idempotent ? "1" : "0");
+    set_header(headers, call_headers::deadline, std::to_string(budget));
+    set_header(headers, call_headers::depth, std::to_string(call.depth));
+    return headers;
+}
+
+attempt_result from_daemon_answer(http_result answer)
+{
+    attempt_result result{.transport = answer.outcome, .reason = answer.reason};
+    if (answer.outcome != call_outcome::answered)
+    {
+        return result;
+    }
+    const auto& headers = answer.response.headers;
+    if (const auto value = find_header(headers, call_headers::outcome))
+    {
+        result.outcome_header = std::string(*value);
+    }
+    if (const auto value = find_header(headers, call_headers::load))
+    {
+        if (const auto load = parse_integer(*value))
+        {
+            result.load = static_cast<int>(*load);
+        }
+    }
+    if (const auto value = find_header(headers, call_headers::reason))
+    {
+        result.reason = std::string(*value);
+    }
+    result.crashed = find_header(headers, call_headers::crash).has_value();
+    result.response = std::move(answer.response);
+    return result;
+}
+
+attempt_result from_local_result(hop_result hop)
+{
+    attempt_result result{.transport = call_outcome::answered,
+                          .outcome_header = std::string(to_string(hop.outcome)),
+                          .response = std::move(hop.response),
+                          .reason = std::move(hop.reason),
+                          .load = hop.in_flight,
+                          .crashed = !hop.crashed.empty()};
+    return result;
+}
+
+void forward(node& self, ingress_call& call, std::string_view hop, time_ms timeout)
+{
+    const std::uint64_t id = call.id.value;
+    const bool shares_deadline = call.idempotent;
+    const time_ms budget = shares_deadline ? timeout : std::max<time_ms>(1, timeout - hop_margin);
+    call.forwarded =
+        send_request(*self.data_client,
+                     {.method = call.request.method,
+                      .url = "http://" + to_string(call.target.address) + call.request.target,
+                      .headers = forward_headers(call, hop, budget),
+                      .body = call.request.body,
+                      .timeout = timeout,
+                      .connect_timeout = std::min<time_ms>(timeout, 500),
+                      .repeatable = call.idempotent},
+                     [&self, id](http_result answer)
+                     { finish_attempt(self, id, from_daemon_answer(std::move(answer))); });
+}
+
+void run_here(node& self, ingress_call& call, time_ms timeout)
+{
+    const std::uint64_t id = call.id.value;
+    hop_request request{.service = call.service,
+                        .version = call.version,
+                        .request = call.request,
+                        .time_left = timeout,
+                        .depth = call.depth,
+                        .idempotent = call.idempotent,
+                        .fingerprint = call.fingerprint};
+    const std::uint64_t hop =
+        run_local(self, std::move(request),
+                  [&self, id](hop_result result)
+                  { finish_attempt(self, id, from_local_result(std::move(result))); });
+    // The callback may have run already and started another attempt.
+    if (self.hops.contains(hop))
+    {
+        if (ingress_call* current = find_call(self, id))
+        {
+            current->local = hop;
+        }
+    }
+}
+
+std::optional<std::string> pick_version(node& self, const ingress_call& call)
+{
+    const auto service = self.config_replica.state.services.find(call.service);
+    if (service == self.config_replica.state.services.end())
+    {
+        return std::nullopt;
+    }
+    auto moved = share_of_move(self, call.service);
+    if (moved && call.avoid_new_version)
+    {
+        moved.reset();
+    }
+    return choose_version(service->second, moved, self.random);
+}
+
+void begin_attempt(node& self, std::uint64_t id)
+{
+    ingress_call& call = *find_call(self, id);
+    if (time_left(call) <= hop_margin)
+    {
+        answer_failure(self, id, "the deadline has passed");
+        return;
+    }
+    if (is_quarantined(self.quarantine, call.fingerprint, wall_now()))
+    {
+        answer_failure(self, id, "the request is quarantined because it crashed upstreams");
+        return;
+    }
+    const auto version = pick_version(self, call);
+    if (!version)
+    {
+        answer_failure(self, id, "service '" + call.service + "' has no version with a share");
+        return;
+    }
+    call.version = *version;
+    ++call.attempts;
+    const endpoint_pick pick = pick_endpoint(
+        self, call.service, call.version,
+        {.tried = call.tried, .may_test = call.idempotent, .allow_spill = !call.spilled});
+    log_event(log_level::info, "route_decision",
+              {{"route", call.route},
+               {"service", call.service},
+               {"version", call.version},
+               {"upstream", pick.target ? pick.target->member : ""},
+               {"reason", to_string(pick.reason)},
+               {"attempt", call.attempts}});
+    if (!pick.target)
+    {
+        answer_failure(self, id,
+                       "no usable upstream of service '" + call.service + "' version '" +
+                           call.version + "'");
+        return;
+    }
+    call.target = *pick.target;
+    call.tried.push_back(call.target.member);
+    call.attempt_started = steady_now();
+    const time_ms timeout = attempt_timeout(time_left(call) - hop_margin, call.idempotent);
+    if (call.target.member == self.config.id)
+    {
+        run_here(self, call, timeout);
+        return;
+    }
+    forward(self, call, pick.spill ? hop_kind::spill : hop_kind::local, timeout);
+}
+
+/** Sends the whole call to the daemon that issued its key. */
+void forward_to_owner(node& self, request_id id, const http_request& request, const endpoint& owner,
+                      time_ms budget)
+{
+    std::vector<http_header> headers = request.headers;
+    std::erase_if(headers,
+                  [](const http_header& header)
+                  {
+                      return is_hop_by_hop(header.name) || equal_header_name(header.name, "Host") ||
+                             equal_header_name(header.name, "Expect");
+                  });
+    set_header(headers, call_headers::hop, std::string(hop_kind::owner));
+    set_header(headers, call_headers::deadline, std::to_string(budget));
+    count(self.stats, "owner_forwards");
+    send_request(*self.data_client,
+                 {.method = request.method,
+                  .url = "http://" + to_string(owner) + request.target,
+                  .headers = std::move(headers),
+                  .body = request.body,
+                  .timeout = budget,
+                  .connect_timeout = std::min<time_ms>(budget, 500),
+                  .repeatable = false},
+                 [&self, id](http_result answer)
+                 {
+                     if (answer.outcome == call_outcome::answered)
+                     {
+                         std::erase_if(answer.response.headers, [](const http_header& header)
+                                       { return is_hop_by_hop(header.name); });
+                         send_reply(*self.data_server, id, std::move(answer.response));
+                         return;
+                     }
+                     // An earlier attempt with this key may have run at its owner.
+                     send_reply(*self.data_server, id,
+                                unknown_response("the daemon that issued the key can't be "
+                                                 "reached: " +
+                                                 answer.reason));
+                 });
+}
+
+/** Data endpoint of the daemon that issued the key; key ids are "id@address:port". */
+std::optional<endpoint> owner_endpoint(const idempotency_key& key)
+{
+    const std::size_t at = key.id.rfind('@');
+    return at == std::string::npos ? std::nullopt : parse_endpoint(key.id.substr(at + 1));
+}
+
+http_response key_response(begin_status status, std::optional<http_response> answer)
+{
+    switch (status)
+    {
+    case begin_status::finished:
+        set_header(answer->headers, call_headers::replayed, "1");
+        return std::move(*answer);
+    case begin_status::finished_answer_dropped:
+        return outcome_response(409, run_outcome::answered,
+                                {error_kind::expired,
+                                 "the request ran, but its answer isn't stored any more",
+                                 "ask the service for the result"});
+    case begin_status::in_progress:
+        return unknown_response("an earlier attempt with this key is still running");
+    case begin_status::outcome_unknown:
+        return unknown_response("an earlier attempt with this key ended without a known outcome");
+    case begin_status::table_full:
+        return not_run_response("too many idempotency keys are in use", "send it again later");
+    case begin_status::other_request:
+        return outcome_response(422, run_outcome::not_run,
+                                {error_kind::invalid_argument,
+                                 "the key was used before with another request",
+                                 "get a new key from " + std::string(keys_path)});
+    case begin_status::run:
+    case begin_status::expired:
+    case begin_status::not_owner:
+    case begin_status::never_issued:
+        break;
+    }
+    return unknown_response("this daemon can't tell whether the key was used (" +
+                            std::string(to_string(status)) + ")");
+}
+
+/** Whether the call may go on; otherwise it has been answered or forwarded. */
+bool claim_key(node& self, ingress_call& call, std::string_view text, std::string_view hop)
+{
+    error reason;
+    const auto key = parse_key(text, reason);
+    if (!key)
+    {
+        reason.remedy = "get keys from " + std::string(keys_path);
+        send_reply(*self.data_server, call.id, outcome_response(400, run_outcome::not_run, reason));
+        return false;
+    }
+    const auto owner = owner_endpoint(*key);
+    if (key->id != self.keys.id && hop != hop_kind::owner && owner)
+    {
+        forward_to_owner(self, call.id, call.request, *owner, time_left(call));
+        return false;
+    }
+    begin_result begun = begin_call(self.keys, *key, wall_now(), call.fingerprint);
+    if (begun.status != begin_status::run)
+    {
+        log_event(log_level::info, "key_decision",
+                  {{"status", to_string(begun.status)}, {"route", call.route}});
+        send_reply(*self.data_server, call.id, key_response(begun.status, std::move(begun.answer)));
+        return false;
+    }
+    call.key = *key;
+    return true;
+}
+
+void answer_keys(node& self, request_id id, const http_request& request)
+{
+    const std::int64_t wanted = query_integer(request.target, "count", 1);
+    nlohmann::json keys = nlohmann::json::array();
+    for (std::int64_t i = 0; i < std::min(wanted, most_keys_per_request); ++i)
+    {
+        keys.push_back(to_string(issue_key(self.keys, wall_now())));
+    }
+    const nlohmann::json body{{"keys", keys}, {"expires_ms", key_lifetime}};
+    send_reply(*self.data_server, id, json_response(200, body.dump()));
+}
+
+std::int64_t header_number(const http_request& request, std::string_view name, std::int64_t other)
+{
+    const auto value = find_header(request.headers, name);
+    return value ? parse_integer(*value).value_or(other) : other;
+}
+
+void handle_hop(node& self, request_id id, http_request request)
+{
+    hop_request hop;
+    hop.service = find_header(request.headers, call_headers::service).value_or("");
+    hop.version = find_header(request.headers, call_headers::version).value_or("");
+    hop.time_left = header_number(request, call_headers::deadline, 0);
+    hop.depth = static_cast<int>(header_number(request, call_headers::depth, 0));
+    hop.idempotent = find_header(request.headers, call_headers::idempotent).value_or("0") == "1";
+    hop.fingerprint = request_fingerprint(request.method, path_of(request.target), request.body);
+    hop.request = std::move(request);
+    auto call = std::make_unique<ingress_call>();
+    call->id = id;
+    self.calls[id.value] = std::move(call);
+    const std::uint64_t hop_id = run_local(
+        self, std::move(hop),
+        [&self, id](hop_result result)
+        {
+            self.calls.erase(id.value);
+            http_response response = std::move(result.response);
+            if (result.outcome != run_outcome::answered)
+            {
+                response = result.outcome == run_outcome::not_run
+                               ? not_run_response(result.reason, "choose another upstream")
+                               : unknown_response(result.reason);
+            }
+            std::erase_if(response.headers,
+                          [](const http_header& header) { return is_hop_by_hop(header.name); });
+            set_header(response.headers, call_headers::outcome,
+                       std::string(to_string(result.outcome)));
+            set_header(response.headers, call_headers::load, std::to_string(result.in_flight));
+            if (!result.crashed.empty())
+            {
+                set_header(response.headers, call_headers::crash, result.crashed);
+            }
+            send_reply(*self.data_server, id, std::move(response));
+        });
+    if (ingress_call* waiting = find_call(self, id.value))
+    {
+        waiting->local = hop_id;
+    }
+}
+
+/** Sets route, service and deadline; false if the call has been answered. */
+bool prepare_call(node& self, ingress_call& call)
+{
+    const replica& config = self.config_replica;
+    const route* matched = match_route(config.state, path_of(call.request.target));
+    if (matched == nullptr)
+    {
+        send_reply(*self.data_server, call.id,
+                   outcome_response(404, run_outcome::not_run,
+                                    {error_kind::not_found, "no route matches the path",
+                                     "see 'sardinepoint get' for the routes"}));
+        return false;
+    }
+    call.route = matched->name;
+    call.service = matched->service;
+    call.idempotent = matched->idempotent.value_or(is_idempotent_method(call.request.method));
+    const time_ms budget = std::min(
+        header_number(call.request, call_headers::deadline, matched->timeout), matched->timeout);
+    call.depth = static_cast<int>(header_number(call.request, call_headers::depth, 0)) + 1;
+    call.deadline = steady_now() + budget;
+    if (call.depth > max_call_depth)
+    {
+        send_reply(
+            *self.data_server, call.id,
+            not_run_response("the call chain is deeper than " + std::to_string(max_call_depth),
+                             "look for a loop of calls"));
+        return false;
+    }
+    return true;
+}
+
+std::optional<std::string> refusal(const node& self)
+{
+    if (self.leaving)
+    {
+        return "this daemon is shutting down";
+    }
+    if (!self.config_replica.ready)
+    {
+        return "this daemon is not ready: " + self.config_replica.not_ready_reason;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void handle_data_request(node& self, request_id id, http_request request)
+{
+    const std::string hop(find_header(request.headers, call_headers::hop).value_or(""));
+    if (const auto reason = refusal(self))
+    {
+        // With a key, an earlier attempt may have run; only its owner can tell.
+        const bool keyed = find_header(request.headers, call_headers::key).has_value();
+        send_reply(*self.data_server, id,
+                   keyed && hop != hop_kind::local
+                       ? unknown_response(*reason)
+                       : not_run_response(*reason, "send the request to another daemon"));
+        return;
+    }
+    if (hop == hop_kind::local)
+    {
+        handle_hop(self, id, std::move(request));
+        return;
+    }
+    if (path_of(request.target) == keys_path)
+    {
+        answer_keys(self, id, request);
+        return;
+    }
+    auto call = std::make_unique<ingress_call>();
+    call->id = id;
+    call->request = std::move(request);
+    call->arrived_us = steady_now_us();
+    call->spilled = hop == hop_kind::spill;
+    call->fingerprint = request_fingerprint(call->request.method, path_of(call->request.target),
+                                            call->request.body);
+    if (!prepare_call(self, *call))
+    {
+        return;
+    }
+    const auto key = find_header(call->request.headers, call_headers::key);
+    // A spilled call's key was claimed by the daemon that spilled it.
+    if (key && !call->spilled && !claim_key(self, *call, std::string(*key), hop))
+    {
+        return;
+    }
+    note_call(self.retries);
+    self.calls[id.value] = std::move(call);
+    begin_attempt(self, id.value);
+}
+
+void handle_data_cancelled(node& self, request_id id)
+{
+    ingress_call* call = find_call(self, id.value);
+    if (call == nullptr)
+    {
+        return;
+    }
+    count(self.stats, "calls_cancelled");
+    if (call->key)
+    {
+        // The caller may send the key again, so the attempt goes on and its answer is kept.
+        call->abandoned = true;
+        return;
+    }
+    if (call->forwarded)
+    {
+        cancel_call(*self.data_client, *call->forwarded);
+    }
+    if (call->local)
+    {
+        cancel_local(self, *call->local);
+    }
+    if (call->retry_timer)
+    {
+        cancel_timer(*self.loop, *call->retry_timer);
+    }
+    if (endpoint_candidate* candidate =
+            find_candidate(self, call->service, call->version, call->target))
+    {
+        note_cancelled(*candidate);
+    }
+    self.calls.erase(id.value);
+}
+
+std::size_t calls_in_progress(const node& self)
+{
+    return self.calls.size() + self.hops.size() + pending_requests(*self.data_server);
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/local_hop.cpp
@@ -0,0 +1,276 @@
+#include "local_hop.hpp"
+
+#include "call_headers.hpp"
+#include "local_upstreams.hpp"
+#include "peering.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+constexpr time_ms crash_probe_timeout_ms = 200;
+constexpr time_ms upstream_connect_timeout_ms = 500;
+
+int in_flight_of(const node& self, const std::string& upstream)
+{
+    const auto found = self.upstreams.find(upstream);
+    if (found == self.upstreams.end())
+    {
+        return 0;
+    }
+    const upstream_slots& slots = found->second.slots;
+    return slots.slots_used + static_cast<int>(slots.waiting.size());
+}
+
+std::unique_ptr<hop_call> take_hop(node& self, std::uint64_t id)
+{
+    auto entry = self.hops.extract(id);
+    return entry.empty() ? nullptr : std::move(entry.mapped());
+}
+
+void start_on_upstream(node& self, hop_call& hop);
+
+void free_slot(node& self, const hop_call& hop)
+{
+    const auto found = self.upstreams.find(hop.upstream);
+    if (!hop.holds_slot || found == self.upstreams.end())
+    {
+        return;
+    }
+    const time_ms now = steady_now();
+    const auto next = release_slot(found->second.slots, now - hop.started, now);
+    if (!next)
+    {
+        return;
+    }
+    const auto waiting = self.hops.find(*next);
+    if (waiting != self.hops.end())
+    {
+        start_on_upstream(self, *waiting->second);
+    }
+}
+
+/** Ends a call; the callback runs after the slot is free. */
+void finish(node& self, std::uint64_t id, hop_result result)
+{
+    const std::unique_ptr<hop_call> hop = take_hop(self, id);
+    if (!hop)
+    {
+        return;
+    }
+    free_slot(self, *hop);
+    result.in_flight = in_flight_of(self, hop->upstream);
+    hop->done(std::move(result));
+}
+
+hop_result not_run(std::string reason)
+{
+    return {.outcome = run_outcome::not_run, .response = {}, .reason = std::move(reason)};
+}
+
+std::string crash_name(const node& self, const std::string& upstream)
+{
+    return self.config.id + "/" + upstream;
+}
+
+/** A lost connection is a crash if the upstream doesn't accept a new one. */
+void probe_after_loss(node& self, std::uint64_t id, const hop_result& result)
+{
+    const auto found = self.hops.find(id);
+    if (found == self.hops.end())
+    {
+        return;
+    }
+    const std::string upstream = found->second->upstream;
+    const std::uint64_t fingerprint = found->second->request.fingerprint;
+    send_request(*self.data_client,
+                 {.method = "GET",
+                  .url = "http://" + upstream + "/",
+                  .timeout = crash_probe_timeout_ms,
+                  .connect_timeout = crash_probe_timeout_ms,
+                  .connect_only = true},
+                 [&self, id, upstream, fingerprint, result](const http_result& probe)
+                 {
+                     hop_result ended = result;
+                     if (probe.outcome == call_outcome::not_sent)
+                     {
+                         ended.crashed = crash_name(self, upstream);
+                         record_crash(self.quarantine, fingerprint, ended.crashed, wall_now());
+                         spread_crash(self, fingerprint);
+                         count(self.stats, "upstream_crashes");
+                         log_event(log_level::warning, "upstream_crashed",
+                                   {{"upstream", upstream}, {"fingerprint", fingerprint}});
+                         // Nothing answers on the port: it is announced again after a restart.
+                         self.upstreams.erase(upstream);
+                         publish_self_record(self);
+                     }
+                     finish(self, id, std::move(ended));
+                 });
+}
+
+void handle_upstream_answer(node& self, std::uint64_t id, http_result answer)
+{
+    hop_result result{.reason = answer.reason};
+    if (answer.outcome == call_outcome::answered)
+    {
+        result.outcome = run_outcome::answered;
+        result.response = std::move(answer.response);
+        finish(self, id, std::move(result));
+        return;
+    }
+    if (answer.outcome == call_outcome::not_sent)
+    {
+        finish(self, id, not_run("the upstream accepts no connection: " + answer.reason));
+        return;
+    }
+    if (answer.connection_lost)
+    {
+        probe_after_loss(self, id, result);
+        return;
+    }
+    finish(self, id, std::move(result));
+}
+
+std::vector<http_header> upstream_headers(const hop_call& hop, time_ms time_left)
+{
+    std::vector<http_header> headers;
+    for (const http_header& header : hop.request.request.headers)
+    {
+        const bool drop = is_hop_by_hop(header.name) || equal_header_name(header.name, "Host") ||
+                          equal_header_name(header.name, "Expect") ||
+                          equal_header_name(header.name, call_headers::hop) ||
+                          equal_header_name(header.name, call_headers::idempotent);
+        if (!drop)
+        {
+            headers.push_back(header);
+        }
+    }
+    set_header(headers, call_headers::deadline, std::to_string(time_left));
+    set_header(headers, call_headers::depth, std::to_string(hop.request.depth));
+    return headers;
+}
+
+void start_on_upstream(node& self, hop_call& hop)
+{
+    hop.holds_slot = true;
+    hop.started = steady_now();
+    const time_ms time_left = hop.request.time_left - (hop.started - hop.arrived);
+    const std::uint64_t id = hop.id;
+    hop.call = send_request(*self.data_client,
+                            {.method = hop.request.request.method,
+                             .url = "http://" + hop.upstream + hop.request.request.target,
+                             .headers = upstream_headers(hop, time_left),
+                             .body = hop.request.request.body,
+                             .timeout = time_left,
+                             .connect_timeout = std::min(time_left, upstream_connect_timeout_ms),
+                             .repeatable = hop.request.idempotent},
+                            [&self, id](http_result answer)
+                            { handle_upstream_answer(self, id, std::move(answer)); });
+}
+
+} // namespace
+
+std::uint64_t run_local(node& self, hop_request request, hop_callback done)
+{
+    const std::uint64_t id = ++self.last_hop;
+    local_upstream* upstream = pick_local(self, request.service, request.version);
+    if (upstream == nullptr)
+    {
+        done(not_run(std::string(local_refusal(self, request.service, request.version))));
+        return id;
+    }
+    if (is_quarantined(self.quarantine, request.fingerprint, wall_now()))
+    {
+        done(not_run("the request is quarantined because it crashed upstreams"));
+        return id;
+    }
+    const time_ms now = steady_now();
+    const slot_decision decision = try_acquire_slot(upstream->slots, id, request.time_left, now);
+    log_event(log_level::debug, "slot_decision",
+              {{"service", request.service},
+               {"decision", to_string(decision)},
+               {"used", upstream->slots.slots_used}});
+    if (decision == slot_decision::queue_full || decision == slot_decision::deadline_too_short)
+    {
+        count(self.stats, "slot_refusals");
+        hop_result refused = not_run("no free slot: " + std::string(to_string(decision)));
+        refused.in_flight = in_flight_of(self, upstream->record.address + ":" +
+                                                   std::to_string(upstream->record.port));
+        done(std::move(refused));
+        return id;
+    }
+    auto hop = std::make_unique<hop_call>();
+    hop->id = id;
+    hop->upstream = upstream->record.address + ":" + std::to_string(upstream->record.port);
+    hop->request = std::move(request);
+    hop->done = std::move(done);
+    hop->arrived = now;
+    hop_call& started = *hop;
+    self.hops[id] = std::move(hop);
+    if (decision == slot_decision::run)
+    {
+        start_on_upstream(self, started);
+    }
+    return id;
+}
+
+void cancel_local(node& self, std::uint64_t id)
+{
+    const std::unique_ptr<hop_call> hop = take_hop(self, id);
+    if (!hop)
+    {
+        return;
+    }
+    if (hop->call)
+    {
+        cancel_call(*self.data_client, *hop->call);
+    }
+    const auto found = self.upstreams.find(hop->upstream);
+    if (found != self.upstreams.end())
+    {
+        cancel_waiting(found->second.slots, id);
+    }
+    free_slot(self, *hop);
+}
+
+int running_hops(const node& self, std::string_view upstream)
+{
+    return static_cast<int>(std::count_if(self.hops.begin(), self.hops.end(),
+                                          [upstream](const auto& entry) {
+                                              return entry.second->holds_slot &&
+                                                     entry.second->upstream == upstream;
+                                          }));
+}
+
+void expire_waiting_hops(node& self)
+{
+    std::vector<std::uint64_t> orphaned;
+    for (const auto& [id, hop] : self.hops)
+    {
+        if (!hop->holds_slot && !self.upstreams.contains(hop->upstream))
+        {
+            orphaned.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : orphaned)
+    {
+        finish(self, id, not_run("the upstream has gone"));
+    }
+    for (auto& [key, upstream] : self.upstreams)
+    {
+        for (const std::uint64_t id : expire_waiting(upstream.slots, steady_now()))
+        {
+            count(self.stats, "slot_refusals");
+            finish(self, id, not_run("no slot became free in time"));
+        }
+    }
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/local_hop.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "node.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace sardinepoint
+{
+
+/** A call for an upstream of this VM. */
+struct hop_request
+{
+    std::string service;
+    std::string version;
+    http_request request;
+    time_ms time_left = 0;
+    int depth = 0;
+    bool idempotent = false;
+    std::uint64_t fingerprint = 0;
+};
+
+struct hop_result
+{
+    run_outcome outcome = run_outcome::unknown;
+    http_response response;
+    std::string reason;
+    /** Calls that the upstream runs now or that wait for it. */
+    int in_flight = 0;
+    /** Name of the upstream if it crashed while it ran the call. */
+    std::string crashed;
+};
+
+using hop_callback = std::function<void(hop_result)>;
+
+/** A call that waits for a slot or runs on an upstream of this VM. */
+struct hop_call
+{
+    std::uint64_t id = 0;
+    std::string upstream;
+    hop_request request;
+    hop_callback done;
+    time_ms arrived = 0;
+    time_ms started = 0;
+    bool holds_slot = false;
+    std::optional<call_id> call;
+};
+
+/** Runs a call on an upstream of this VM, or refuses it. The callback may come at once. */
+std::uint64_t run_local(node& self, hop_request request, hop_callback done);
+
+/** Aborts a call; its callback doesn't run. */
+void cancel_local(node& self, std::uint64_t hop);
+
+/** Number of calls that run on an upstream, which may have been announced anew meanwhile. */
+int running_hops(const node& self, std::string_view upstream);
+
+/** Refuses calls that waited too long for a slot. */
+void expire_waiting_hops(node& self);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/operator_api.cpp
@@ -0,0 +1,307 @@
+#include "operator_api.hpp"
+
+#include "local_upstreams.hpp"
+#include "move_runtime.hpp"
+#include "patch_submission.hpp"
+#include "peering.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_ms longest_watch_ms = 30000;
+constexpr time_ms watch_check_ms = 50;
+constexpr time_ms drain_timeout_ms = 2000;
+constexpr std::string_view peer_prefix = "/peer/v1/";
+
+std::string_view to_string(member_state state)
+{
+    switch (state)
+    {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+std::string_view to_string(upstream_state state)
+{
+    switch (state)
+    {
+    case upstream_state::up:
+        return "up";
+    case upstream_state::draining:
+        return "draining";
+    case upstream_state::left:
+        return "left";
+    }
+    return "left";
+}
+
+json member_view(const member_record& record)
+{
+    json upstreams = json::array();
+    for (const upstream_record& upstream : record.upstreams)
+    {
+        upstreams.push_back({{"service", upstream.service},
+                             {"version", upstream.version},
+                             {"address", upstream.address + ":" + std::to_string(upstream.port)},
+                             {"slots", upstream.slots},
+                             {"state", to_string(upstream.state)}});
+    }
+    return {{"id", record.id},
+            {"domain", record.domain},
+            {"state", to_string(record.state)},
+            {"control", to_string(control_endpoint(record))},
+            {"served_version", record.served_version},
+            {"upstreams", std::move(upstreams)}};
+}
+
+json domain_view(const remote_domain& known)
+{
+    json view = to_json(known.summary);
+    view["age_ms"] = steady_now() - known.received;
+    return view;
+}
+
+json status_view(const node& self)
+{
+    const replica& config = self.config_replica;
+    json members = json::array();
+    for (const auto& [id, entry] : self.members.members)
+    {
+        members.push_back(member_view(entry.record));
+    }
+    json domains = json::array();
+    for (const auto& [name, known] : self.domains)
+    {
+        domains.push_back(domain_view(known));
+    }
+    return {{"id", self.config.id},
+            {"domain", self.config.domain},
+            {"region", self.config.region},
+            {"ready", config.ready && !self.leaving},
+            {"not_ready", self.leaving ? "shutting down" : config.not_ready_reason},
+            {"version", config.state.version},
+            {"next_offset", config.state.next_offset},
+            {"freshness_ms", freshness_age(self)},
+            {"log", config.log_reachable ? "reachable" : "not reachable"},
+            {"control_bytes", control_bytes(self)},
+            {"members", std::move(members)},
+            {"domains", std::move(domains)},
+            {"moves", move_views(self)}};
+}
+
+json config_view(const node& self)
+{
+    json view = json::parse(dump_state(self.config_replica.state));
+    view.erase("patches");
+    return view;
+}
+
+void answer_ready(node& self, request_id id)
+{
+    const bool ready = self.config_replica.ready && !self.leaving;
+    const std::string reason =
+        self.leaving ? "shutting down" : self.config_replica.not_ready_reason;
+    send_reply(
+        *self.control_server, id,
+        {.status = ready ? 200 : 503, .headers = {}, .body = ready ? "ready\n" : reason + "\n"});
+}
+
+void answer_metrics(node& self, request_id id)
+{
+    set_gauge(self.stats, "version", static_cast<double>(self.config_replica.state.version));
+    set_gauge(self.stats, "ready", self.config_replica.ready ? 1 : 0);
+    set_gauge(self.stats, "members", static_cast<double>(self.members.members.size()));
+    set_gauge(self.stats, "control_bytes", static_cast<double>(control_bytes(self)));
+    set_gauge(self.stats, "calls_in_progress", static_cast<double>(self.calls.size()));
+    send_reply(*self.control_server, id,
+               {.status = 200,
+                .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                .body = render_metrics(self.stats)});
+}
+
+void answer_announce(node& self, request_id id, const json& body)
+{
+    error reason;
+    const auto lease = take_announcement(self, body, reason);
+    if (!lease)
+    {
+        send_reply(*self.control_server, id, error_response(400, reason));
+        return;
+    }
+    const json answer{{"lease_ms", *lease}};
+    send_reply(*self.control_server, id, json_response(200, answer.dump()));
+}
+
+void forward_drain(node& self, request_id id, const member_record& member, const json& body)
+{
+    send_peer(self, control_endpoint(member), "/v1/drain", body, drain_timeout_ms,
+              [&self, id, name = member.id](const json* answer)
+              {
+                  if (answer != nullptr)
+                  {
+                      send_reply(*self.control_server, id, json_response(200, answer->dump()));
+                      return;
+                  }
+                  send_reply(*self.control_server, id,
+                             error_response(502, {error_kind::unreachable,
+                                                  "daemon '" + name + "' can't be reached",
+                                                  "name its own control endpoint with --daemon"}));
+              });
+}
+
+void answer_drain(node& self, request_id id, const json& body)
+{
+    const auto named = body.find("member");
+    const std::string member =
+        named != body.end() && named->is_string() ? named->get<std::string>() : "";
+    const auto undo = body.find("undo");
+    if (member == self.config.id)
+    {
+        set_drained(self, undo == body.end() || !undo->is_boolean() || !undo->get<bool>());
+        const json answer{{"member", member}, {"state", self.drained ? "draining" : "up"}};
+        send_reply(*self.control_server, id, json_response(200, answer.dump()));
+        return;
+    }
+    if (const member_entry* entry = find_member(self.members, member))
+    {
+        forward_drain(self, id, entry->record, body);
+        return;
+    }
+    send_reply(*self.control_server, id,
+               error_response(404, {error_kind::not_found,
+                                    "member '" + member + "' is not known in failure domain '" +
+                                        self.config.domain + "'",
+                                    "see 'sardinepoint status' for the members, or ask a daemon "
+                                    "of its failure domain"}));
+}
+
+/** Answers when the move's view changes from what the operator saw, or when the time is up. */
+void answer_watch(node& self, request_id id, const std::string& move, const std::string& seen,
+                  time_ms deadline)
+{
+    const auto view = move_view(self, move);
+    if (!view)
+    {
+        send_reply(*self.control_server, id,
+                   error_response(404, {error_kind::not_found, "move '" + move + "' is not known",
+                                        "see 'sardinepoint status' for the moves"}));
+        return;
+    }
+    if (view->value("state", "") != seen || steady_now() >= deadline)
+    {
+        send_reply(*self.control_server, id, json_response(200, view->dump()));
+        return;
+    }
+    run_after(*self.loop, watch_check_ms,
+              [&self, id, move, seen, deadline] { answer_watch(self, id, move, seen, deadline); });
+}
+
+void handle_get(node& self, request_id id, std::string_view path, const http_request& request)
+{
+    if (path == "/healthz")
+    {
+        send_reply(*self.control_server, id, {.status = 200, .headers = {}, .body = "ok\n"});
+    }
+    else if (path == "/readyz")
+    {
+        answer_ready(self, id);
+    }
+    else if (path == "/metrics")
+    {
+        answer_metrics(self, id);
+    }
+    else if (path == "/v1/status")
+    {
+        send_reply(*self.control_server, id, json_response(200, status_view(self).dump()));
+    }
+    else if (path == "/v1/config")
+    {
+        send_reply(*self.control_server, id, json_response(200, config_view(self).dump()));
+    }
+    else if (path == "/v1/watch")
+    {
+        const time_ms wait =
+            std::min(query_integer(request.target, "wait_ms", 0), longest_watch_ms);
+        answer_watch(self, id, query_parameter(request.target, "move").value_or(""),
+                     query_parameter(request.target, "after").value_or(""), steady_now() + wait);
+    }
+    else
+    {
+        send_reply(
+            *self.control_server, id,
+            error_response(404, {error_kind::not_found, "no page has the path " + std::string(path),
+                                 "see docs/operations.md for the pages"}));
+    }
+}
+
+void handle_post(node& self, request_id id, std::string_view path, const http_request& request)
+{
+    if (path == "/v1/patches")
+    {
+        submit_patch(self, request.body,
+                     [&self, id](http_response response)
+                     { send_reply(*self.control_server, id, std::move(response)); });
+        return;
+    }
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+    {
+        send_reply(*self.control_server, id,
+                   error_response(400, {error_kind::invalid_argument,
+                                        "the body is not a JSON object", "send a JSON object"}));
+        return;
+    }
+    if (path == "/v1/announce")
+    {
+        answer_announce(self, id, body);
+        return;
+    }
+    if (path == "/v1/drain")
+    {
+        answer_drain(self, id, body);
+        return;
+    }
+    if (path.substr(0, peer_prefix.size()) == peer_prefix)
+    {
+        handle_peer_request(self, path, body,
+                            [&self, id](http_response response)
+                            { send_reply(*self.control_server, id, std::move(response)); });
+        return;
+    }
+    handle_get(self, id, "unknown " + std::string(path), request);
+}
+
+} // namespace
+
+void handle_control_request(node& self, request_id id, const http_request& request)
+{
+    const std::string_view path = path_of(request.target);
+    if (request.method == "POST")
+    {
+        handle_post(self, id, path, request);
+        return;
+    }
+    handle_get(self, id, path, request);
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/patch_submission.cpp
@@ -0,0 +1,161 @@
+#include "patch_submission.hpp"
+
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_ms read_back_limit_ms = 3000;
+constexpr time_ms read_back_interval_ms = 10;
+
+using answer_function = std::function<void(http_response)>;
+
+int status_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::stale_version:
+        return 409;
+    case error_kind::log_unavailable:
+    case error_kind::not_ready:
+        return 503;
+    case error_kind::outcome_unknown:
+        return 504;
+    default:
+        return 400;
+    }
+}
+
+http_response refusal(const error& reason)
+{
+    return error_response(status_of(reason.kind), reason);
+}
+
+http_response outcome_answer(const patch_outcome& outcome)
+{
+    if (outcome.reason.kind != error_kind::none)
+    {
+        return refusal(outcome.reason);
+    }
+    const json body{{"result", "accepted"},
+                    {"id", outcome.id},
+                    {"version", outcome.version},
+                    {"offset", outcome.offset}};
+    return json_response(200, body.dump());
+}
+
+error unknown_outcome(const std::string& id, const std::string& why)
+{
+    return {error_kind::outcome_unknown,
+            "it is not known whether patch '" + id + "' was taken: " + why,
+            "submit it again with the same id"};
+}
+
+/** Waits until the patch's record was folded here. */
+void await_fold(node& self, const std::string& id, time_ms deadline, const answer_function& answer)
+{
+    if (const patch_outcome* outcome = find_patch(self.config_replica.state, id))
+    {
+        answer(outcome_answer(*outcome));
+        return;
+    }
+    if (steady_now() >= deadline)
+    {
+        answer(refusal(unknown_outcome(id, "its record was not read back in time")));
+        return;
+    }
+    run_after(*self.loop, read_back_interval_ms,
+              [&self, id, deadline, answer] { await_fold(self, id, deadline, answer); });
+}
+
+void handle_append(node& self, const std::string& id, const append_result& result,
+                   const answer_function& answer)
+{
+    log_event(log_level::info, "patch_appended",
+              {{"id", id},
+               {"outcome", static_cast<int>(result.outcome)},
+               {"offset", result.offset},
+               {"reason", result.reason}});
+    if (result.outcome == append_outcome::refused)
+    {
+        answer(refusal({error_kind::log_unavailable, "the log refused the patch: " + result.reason,
+                        "submit it again when the log is available"}));
+        return;
+    }
+    // With a lost answer the record may still arrive, so it is awaited in both cases.
+    request_read(self);
+    await_fold(self, id, steady_now() + read_back_limit_ms, answer);
+}
+
+bool check_deadlines(const patch& change, error& reason)
+{
+    for (const patch_operation& operation : change.operations)
+    {
+        const auto* move = std::get_if<start_move>(&operation);
+        if (move != nullptr && move->value.deadline <= wall_now())
+        {
+            reason = {error_kind::invalid_patch,
+                      "key 'deadline_ms' has the value " + std::to_string(move->value.deadline) +
+                          ", which has gone by",
+                      "give a deadline in the future, in milliseconds since the Unix epoch"};
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+void submit_patch(node& self, std::string_view text, std::function<void(http_response)> answer)
+{
+    error reason;
+    auto change = parse_patch(text, reason);
+    if (!change)
+    {
+        answer(refusal(reason));
+        return;
+    }
+    const replica& config = self.config_replica;
+    if (!config.ready || self.leaving)
+    {
+        answer(
+            refusal({error_kind::not_ready, "this daemon is not ready: " + config.not_ready_reason,
+                     "submit to another daemon or wait"}));
+        return;
+    }
+    if (const patch_outcome* outcome = find_patch(config.state, change->id))
+    {
+        answer(outcome_answer(*outcome));
+        return;
+    }
+    if (change->created == 0)
+    {
+        change->created = wall_now();
+    }
+    // A version ahead of this daemon's may be right: the log decides.
+    const bool ahead = change->base > config.state.version;
+    if (!check_deadlines(*change, reason) ||
+        (!ahead && !apply_patch(config.state, *change, reason)))
+    {
+        log_event(log_level::info, "patch_refused",
+                  {{"id", change->id}, {"reason", reason.message}});
+        answer(refusal(reason));
+        return;
+    }
+    append_record(self.log, config_stream, dump_patch(*change),
+                  [&self, id = change->id, answer = std::move(answer)](const append_result& result)
+                  { handle_append(self, id, result, answer); });
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/replica.cpp
@@ -0,0 +1,442 @@
+#include "replica.hpp"
+
+#include "move_runtime.hpp"
+#include "peering.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t fetchers_per_domain = 2;
+constexpr std::size_t kept_records = 1024;
+constexpr std::size_t most_records_per_message = 256;
+constexpr int newest_snapshots = 3;
+constexpr time_ms retry_base_ms = 500;
+constexpr time_ms retry_jitter_ms = 500;
+// Three missed freshness broadcasts of both fetchers.
+constexpr time_ms stale_after_ms = 6000;
+constexpr time_ms stale_jitter_ms = 4000;
+// With the log out, the newest offset among the peers that answer in this time must be reached.
+constexpr time_ms peer_answers_wait_ms = 500;
+
+time_ms jitter(node& self, time_ms most)
+{
+    return std::uniform_int_distribution<time_ms>(0, most)(self.random);
+}
+
+void log_fold(const log_record& record, const fold_result& result, std::uint64_t version,
+              std::string_view source)
+{
+    const bool bad = result.kind == fold_kind::malformed;
+    log_event(bad ? log_level::warning : log_level::info, "record_folded",
+              {{"offset", record.offset},
+               {"result", to_string(result.kind)},
+               {"id", result.id},
+               {"version", version},
+               {"source", source},
+               {"reason", result.reason.message}});
+}
+
+void keep_recent(replica& config, const log_record& record)
+{
+    config.recent.push_back(record);
+    if (config.recent.size() > kept_records)
+    {
+        config.recent.pop_front();
+    }
+}
+
+void note_log_state(node& self, bool reachable, std::string_view reason)
+{
+    replica& config = self.config_replica;
+    if (config.log_reachable != reachable)
+    {
+        config.log_reachable = reachable;
+        log_event(reachable ? log_level::info : log_level::warning,
+                  reachable ? "log_reachable" : "log_unreachable", {{"reason", reason}});
+    }
+}
+
+void retry_later(node& self)
+{
+    replica& config = self.config_replica;
+    config.reading = false;
+    config.next_read = steady_now() + retry_base_ms + jitter(self, retry_jitter_ms);
+}
+
+void load_snapshots(node& self);
+
+void handle_read(node& self, const read_result& result, time_ms asked_at)
+{
+    replica& config = self.config_replica;
+    if (!result.ok)
+    {
+        note_log_state(self, false, result.reason);
+        retry_later(self);
+        return;
+    }
+    note_log_state(self, true, "");
+    config.reading = false;
+    if (result.expired)
+    {
+        log_event(log_level::warning, "records_expired",
+                  {{"wanted", config.state.next_offset}, {"first", result.first}});
+        load_snapshots(self);
+        retry_later(self);
+        return;
+    }
+    apply_records(self, result.records, "log");
+    const bool complete = config.state.next_offset >= result.next;
+    if (!config.target)
+    {
+        config.target = result.next;
+    }
+    if (complete)
+    {
+        config.fresh_at = std::max(config.fresh_at, asked_at);
+    }
+    check_ready(self);
+    // Fetchers poll without a pause; others read once and then rely on their peers again.
+    config.next_read = steady_now();
+}
+
+void read_log(node& self)
+{
+    replica& config = self.config_replica;
+    config.reading = true;
+    const time_ms asked_at = steady_now();
+    const bool poll = config.ready && is_fetcher(self);
+    count(self.stats, "log_reads");
+    read_records(self.log, config_stream,
+                 {.from = config.state.next_offset, .wait = poll ? self.config.log_poll_wait : 0},
+                 [&self, asked_at](const read_result& result)
+                 { handle_read(self, result, asked_at); });
+}
+
+void load_snapshots(node& self)
+{
+    read_newest(self.log, snapshot_stream, newest_snapshots,
+                [&self](const read_result& result)
+                {
+                    for (auto record = result.records.rbegin(); record != result.records.rend();
+                         ++record)
+                    {
+                        if (adopt_snapshot(self, record->body, "log"))
+                        {
+                            break;
+                        }
+                    }
+                    if (result.ok)
+                    {
+                        self.config_replica.next_read = steady_now();
+                    }
+                });
+}
+
+void write_snapshot(node& self)
+{
+    replica& config = self.config_replica;
+    config.writing_snapshot = true;
+    const std::uint64_t offset = config.state.next_offset;
+    append_record(self.log, snapshot_stream, make_snapshot(config.state),
+                  [&self, offset](const append_result& result)
+                  {
+                      replica& target = self.config_replica;
+                      target.writing_snapshot = false;
+                      const bool written = result.outcome == append_outcome::appended;
+                      if (written)
+                      {
+                          target.snapshot_at = steady_now();
+                      }
+                      else
+                      {
+                          // Tries again after a tenth of the interval.
+                          target.snapshot_at = steady_now() - self.config.snapshot_interval +
+                                               self.config.snapshot_interval / 10;
+                      }
+                      log_event(log_level::info, "snapshot_written",
+                                {{"next_offset", offset},
+                                 {"ok", written ? "yes" : "no"},
+                                 {"reason", result.reason}});
+                  });
+}
+
+std::optional<std::size_t> fetcher_rank(const node& self)
+{
+    const auto ids = alive_ids(self.members, self.config.domain);
+    const auto picked = rendezvous_pick(ids, "fetcher", fetchers_per_domain);
+    const auto found = std::find(picked.begin(), picked.end(), self.config.id);
+    if (found == picked.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - picked.begin());
+}
+
+bool snapshot_due(const node& self)
+{
+    const replica& config = self.config_replica;
+    const auto rank = fetcher_rank(self);
+    if (!rank || config.writing_snapshot || !config.ready || config.state.next_offset == 0)
+    {
+        return false;
+    }
+    // The second reader writes only when the first has not done so for a while.
+    const time_ms due = self.config.snapshot_interval * (*rank == 0 ? 2 : 3) / 2;
+    return steady_now() - config.snapshot_at >= due;
+}
+
+} // namespace
+
+void start_replica(node& self)
+{
+    self.config_replica.snapshot_at = steady_now();
+    load_snapshots(self);
+}
+
+bool is_fetcher(const node& self)
+{
+    return fetcher_rank(self).has_value();
+}
+
+time_ms freshness_age(const node& self)
+{
+    return steady_now() - self.config_replica.fresh_at;
+}
+
+void note_freshness(node& self, std::uint64_t peer_next_offset, time_ms age)
+{
+    replica& config = self.config_replica;
+    if (config.state.next_offset >= peer_next_offset)
+    {
+        config.fresh_at = std::max(config.fresh_at, steady_now() - age);
+    }
+}
+
+void request_read(node& self)
+{
+    if (!self.config_replica.reading)
+    {
+        read_log(self);
+    }
+}
+
+void tick_replica(node& self)
+{
+    replica& config = self.config_replica;
+    if (snapshot_due(self))
+    {
+        write_snapshot(self);
+    }
+    check_ready(self);
+    const time_ms now = steady_now();
+    if (config.reading || now < config.next_read || self.leaving)
+    {
+        return;
+    }
+    if (!config.ready || is_fetcher(self))
+    {
+        read_log(self);
+        return;
+    }
+    if (freshness_age(self) > stale_after_ms)
+    {
+        log_event(log_level::info, "log_read_without_fetcher", {{"age_ms", freshness_age(self)}});
+        read_log(self);
+        config.next_read = now + stale_after_ms + jitter(self, stale_jitter_ms);
+    }
+}
+
+std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
+{
+    replica& config = self.config_replica;
+    std::size_t folded = 0;
+    for (const log_record& record : records)
+    {
+        const fold_result result = fold_record(config.state, record);
+        if (result.kind == fold_kind::out_of_order)
+        {
+            continue;
+        }
+        ++folded;
+        count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
+        log_fold(record, result, config.state.version, source);
+        keep_recent(config, record);
+        if (source == "log")
+        {
+            self.pending.records.push_back(record);
+        }
+    }
+    if (folded > 0)
+    {
+        config_changed(self);
+        check_ready(self);
+        schedule_flush(self);
+    }
+    return folded;
+}
+
+bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source)
+{
+    replica& config = self.config_replica;
+    error reason;
+    auto state = restore_snapshot(snapshot, reason);
+    if (!state)
+    {
+        log_event(log_level::warning, "snapshot_rejected",
+                  {{"source", source}, {"reason", describe(reason)}});
+        return false;
+    }
+    if (state->next_offset <= config.state.next_offset || state->version < config.state.version)
+    {
+        return false;
+    }
+    config.state = std::move(*state);
+    config.recent.clear();
+    log_event(log_level::info, "snapshot_adopted",
+              {{"source", source},
+               {"next_offset", config.state.next_offset},
+               {"version", config.state.version}});
+    config_changed(self);
+    check_ready(self);
+    return true;
+}
+
+void note_peer_offset(node& self, std::uint64_t next_offset)
+{
+    replica& config = self.config_replica;
+    if (self.first_peer_answer == 0)
+    {
+        self.first_peer_answer = steady_now();
+    }
+    if (!config.ready && !config.log_reachable)
+    {
+        config.target = std::max(config.target.value_or(0), next_offset);
+    }
+}
+
+void check_ready(node& self)
+{
+    replica& config = self.config_replica;
+    if (config.ready)
+    {
+        return;
+    }
+    if (!config.target)
+    {
+        config.not_ready_reason = "neither the log nor a ready peer has been reached";
+        return;
+    }
+    if (config.state.next_offset < *config.target)
+    {
+        config.not_ready_reason = "the configuration is loaded up to offset " +
+                                  std::to_string(config.state.next_offset) + " of " +
+                                  std::to_string(*config.target);
+        return;
+    }
+    if (!config.log_reachable && steady_now() - self.first_peer_answer < peer_answers_wait_ms)
+    {
+        config.not_ready_reason = "waiting for the offsets of more peers";
+        return;
+    }
+    config.ready = true;
+    config.not_ready_reason.clear();
+    log_event(log_level::info, "ready",
+              {{"version", config.state.version}, {"next_offset", config.state.next_offset}});
+    publish_self_record(self);
+}
+
+json to_json(const log_record& record)
+{
+    return {{"o", record.offset}, {"t", record.appended}, {"b", record.body}};
+}
+
+std::vector<log_record> records_from_json(const json& values)
+{
+    std::vector<log_record> records;
+    if (!values.is_array())
+    {
+        return records;
+    }
+    for (const json& value : values)
+    {
+        const bool valid = value.is_object() && value.contains("o") &&
+                           value["o"].is_number_unsigned() && value.contains("t") &&
+                           value["t"].is_number_integer() && value.contains("b") &&
+                           value["b"].is_string();
+        if (!valid)
+        {
+            return {};
+        }
+        records.push_back({.offset = value["o"].get<std::uint64_t>(),
+                           .appended = value["t"].get<time_ms>(),
+                           .body = value["b"].get<std::string>()});
+    }
+    return records;
+}
+
+json records_since(const node& self, std::uint64_t from)
+{
+    const replica& config = self.config_replica;
+    if (!config.ready)
+    {
+        // An incomplete state must not become the target of a daemon that starts.
+        return json::object();
+    }
+    json message{{"next", config.state.next_offset}, {"age", freshness_age(self)}};
+    if (from >= config.state.next_offset)
+    {
+        return message;
+    }
+    if (config.recent.empty() || from < config.recent.front().offset)
+    {
+        message["snapshot"] = make_snapshot(config.state);
+        return message;
+    }
+    json records = json::array();
+    for (const log_record& record : config.recent)
+    {
+        if (record.offset >= from && records.size() < most_records_per_message)
+        {
+            records.push_back(to_json(record));
+        }
+    }
+    message["records"] = std::move(records);
+    return message;
+}
+
+void apply_records_message(node& self, const json& message, std::string_view source)
+{
+    if (message.contains("snapshot") && message["snapshot"].is_string())
+    {
+        adopt_snapshot(self, message["snapshot"].get_ref<const std::string&>(), source);
+    }
+    if (message.contains("records"))
+    {
+        apply_records(self, records_from_json(message["records"]), source);
+    }
+    const bool has_next = message.contains("next") && message["next"].is_number_unsigned();
+    const bool has_age = message.contains("age") && message["age"].is_number_integer();
+    if (has_next)
+    {
+        note_peer_offset(self, message["next"].get<std::uint64_t>());
+        check_ready(self);
+    }
+    if (has_next && has_age)
+    {
+        note_freshness(self, message["next"].get<std::uint64_t>(), message["age"].get<time_ms>());
+    }
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/replica.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "node.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <span>
+
+namespace sardinepoint
+{
+
+/** Loads the newest snapshot and catches up with the log or, when it is out, with peers. */
+void start_replica(node& self);
+
+/** Called often; reads the log if it is this daemon's turn, and writes snapshots. */
+void tick_replica(node& self);
+
+/** Reads the log at the next opportunity even if that is another daemon's turn. */
+void request_read(node& self);
+
+/** Folds records that are next in order; others are ignored. Returns how many were folded. */
+std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source);
+
+/** Replaces the state by a snapshot that is newer; older ones are ignored. */
+bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source);
+
+/** Notes that peers hold the configuration up to this offset. */
+void note_peer_offset(node& self, std::uint64_t next_offset);
+
+/** Becomes ready if the target offset is reached. */
+void check_ready(node& self);
+
+/** Whether this daemon is one of the domain's readers of the log. */
+bool is_fetcher(const node& self);
+
+/** Milliseconds since the state was known to be complete. */
+time_ms freshness_age(const node& self);
+
+/** Takes over a peer's freshness if the own state is at least as new. */
+void note_freshness(node& self, std::uint64_t peer_next_offset, time_ms age);
+
+/** What a peer that has folded up to `from` lacks: records, or a snapshot if it is too far back. */
+nlohmann::json records_since(const node& self, std::uint64_t from);
+
+/** Applies the answer of records_since. */
+void apply_records_message(node& self, const nlohmann::json& message, std::string_view source);
+
+nlohmann::json to_json(const log_record& record);
+std::vector<log_record> records_from_json(const nlohmann::json& values);
+
+} // namespace sardinepoint
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "sardinepoint/http.hpp"
 
+#include <fmt/format.h>
 #include <ini.h>
 
 #include <arpa/inet.h>
@@ -188,10 +189,6 @@
           "upper bound on announced connections"},
          false,
          integer_setter(&settings::max_connections, 1, most)},
-        {{"calls", "default_timeout_ms", "ms", "5000",
-          "deadline of a call without a Sardinepoint-Deadline-Ms header, below the route's"},
-         false,
-         integer_setter(&settings::default_timeout, 1, hour_ms)},
         {{"calls", "queue_wait_ms", "ms", "200", "longest wait for a free slot of an upstream"},
          false,
          integer_setter(&settings::queue_wait, 0, 60000)},
@@ -253,7 +250,7 @@
         }
         if (const auto expected = rule.set(context.result, value))
         {
-            fail(context, name + " has the value '" + value + "'", "give " + *expected);
+            fail(context, fmt::format("{} has the value '{}'", name, value), "give " + *expected);
         }
         return;
     }
--- /dev/null
+++ b/support/rig/mesh.cpp
@@ -0,0 +1,295 @@
+#include "rig/mesh.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace sardinepoint::rig
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr time_ms poll_interval_ms = 5;
+
+std::string make_work_dir(const std::string& name)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / (name + "-XXXXXX")).string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+    {
+        throw std::runtime_error("can't make a folder for the rig");
+    }
+    return pattern;
+}
+
+/** A port that is free now; the daemon that gets it listens shortly after. */
+std::uint16_t free_port()
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    const bool bound =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0 &&       // NOLINT
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) == 0; // NOLINT
+    ::close(fd);
+    if (!bound)
+    {
+        throw std::runtime_error("no free port");
+    }
+    return ntohs(address.sin_port);
+}
+
+json parse_answer(const http_result& result)
+{
+    if (result.outcome != call_outcome::answered)
+    {
+        return {};
+    }
+    json body = json::parse(result.response.body, nullptr, false);
+    if (body.is_object())
+    {
+        body["status"] = result.response.status;
+    }
+    return body.is_discarded() ? json() : body;
+}
+
+} // namespace
+
+http_result call(std::uint16_t port, http_call request, std::string_view target)
+{
+    event_loop_ptr loop = make_event_loop();
+    http_client_ptr client = open_http_client(*loop, {});
+    request.url = "http://127.0.0.1:" + std::to_string(port) + std::string(target);
+    http_result answer;
+    send_request(*client, std::move(request),
+                 [&](http_result result)
+                 {
+                     answer = std::move(result);
+                     stop(*loop);
+                 });
+    run(*loop);
+    return answer;
+}
+
+json get_json(std::uint16_t port, std::string_view target, time_ms timeout)
+{
+    return parse_answer(call(port, {.timeout = timeout}, target));
+}
+
+json post_json(std::uint16_t port, std::string_view target, const json& body, time_ms timeout)
+{
+    return parse_answer(
+        call(port, {.method = "POST", .body = body.dump(), .timeout = timeout}, target));
+}
+
+bool wait_until(time_ms limit, const std::function<bool()>& condition)
+{
+    const time_ms deadline = steady_now() + limit;
+    while (!condition())
+    {
+        if (steady_now() >= deadline)
+        {
+            return false;
+        }
+        pause(poll_interval_ms);
+    }
+    return true;
+}
+
+void pause(time_ms duration)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(duration));
+}
+
+mesh::mesh(mesh_options options)
+    : options(std::move(options)), work_dir(make_work_dir(this->options.name))
+{
+    this->log = std::make_unique<process>(
+        this->options.build_dir + "/standin_log",
+        std::vector<std::string>{"--retention=" + std::to_string(this->options.retention),
+                                 "--appends-per-second=" +
+                                     std::to_string(this->options.appends_per_second)},
+        this->work_dir + "/log.log");
+}
+
+mesh::~mesh()
+{
+    this->upstreams.clear();
+    this->daemons.clear();
+    this->log.reset();
+    if (std::getenv("KEEP_RIG") == nullptr)
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->work_dir, ignored);
+    }
+}
+
+void mesh::write_settings(daemon_node& daemon) const
+{
+    std::ofstream file(daemon.settings_file);
+    file << "[daemon]\nid = " << daemon.id << "\nregion = ee-north\ndomain = " << daemon.domain
+         << "\ndata_port = " << daemon.data_port << "\ncontrol_port = " << daemon.control_port
+         << "\nlog_level = " << this->options.log_level
+         << "\n[log]\nendpoint = 127.0.0.1:" << this->log_port()
+         << "\npoll_wait_ms = " << this->options.log_poll_wait
+         << "\nsnapshot_interval_ms = " << this->options.snapshot_interval << "\n"
+         << this->options.extra_settings;
+}
+
+void mesh::start(daemon_node& daemon)
+{
+    daemon.running = std::make_unique<process>(
+        this->options.build_dir + "/sardinepointd",
+        std::vector<std::string>{"--config=" + daemon.settings_file}, daemon.log_file);
+}
+
+daemon_node& mesh::add_daemon(const std::string& id, const std::string& domain)
+{
+    daemon_node& daemon = this->daemons.emplace_back();
+    daemon.id = id;
+    daemon.domain = domain;
+    daemon.settings_file = this->work_dir + "/" + id + ".ini";
+    daemon.log_file = this->work_dir + "/" + id + ".log";
+    daemon.data_port = free_port();
+    daemon.control_port = free_port();
+    this->write_settings(daemon);
+    this->start(daemon);
+    return daemon;
+}
+
+upstream_node& mesh::add_upstream(const daemon_node& daemon, const upstream_options& options)
+{
+    upstream_node& upstream = this->upstreams.emplace_back();
+    upstream.port = free_port();
+    upstream.log_file = this->work_dir + "/upstream-" + std::to_string(upstream.port) + ".log";
+    upstream.arguments = {"--service=" + options.service,
+                          "--version=" + options.version,
+                          "--daemon=127.0.0.1:" + std::to_string(daemon.control_port),
+                          "--port=" + std::to_string(upstream.port),
+                          "--slots=" + std::to_string(options.slots),
+                          "--connections=" + std::to_string(options.connections),
+                          "--work-ms=" + std::to_string(options.work),
+                          "--announce-ms=" + std::to_string(options.announce_interval)};
+    this->restart(upstream);
+    return upstream;
+}
+
+void mesh::restart(daemon_node& daemon)
+{
+    daemon.running.reset();
+    this->start(daemon);
+}
+
+void mesh::restart(upstream_node& upstream)
+{
+    upstream.running.reset();
+    upstream.running = std::make_unique<process>(this->options.build_dir + "/standin_upstream",
+                                                 upstream.arguments, upstream.log_file);
+}
+
+std::uint16_t mesh::log_port() const
+{
+    return this->log->port("port");
+}
+
+void mesh::set_log_faults(const json& faults)
+{
+    post_json(this->log_port(), "/faults", faults);
+}
+
+json mesh::log_stats()
+{
+    return get_json(this->log_port(), "/stats");
+}
+
+json mesh::submit(const daemon_node& daemon, std::uint64_t base, const json& operations,
+                  const std::string& id)
+{
+    const std::string patch_id = id.empty() ? "patch-" + std::to_string(++this->last_patch) : id;
+    return post_json(daemon.control_port, "/v1/patches",
+                     {{"id", patch_id}, {"base", base}, {"ops", operations}});
+}
+
+bool mesh::wait_ready(time_ms limit)
+{
+    return wait_until(limit,
+                      [this]
+                      {
+                          return std::all_of(this->daemons.begin(), this->daemons.end(),
+                                             [](const daemon_node& daemon)
+                                             {
+                                                 const json status = status_of(daemon);
+                                                 return status.is_object() &&
+                                                        status.value("ready", false);
+                                             });
+                      });
+}
+
+bool mesh::wait_version(std::uint64_t version, time_ms limit)
+{
+    return wait_until(limit,
+                      [this, version]
+                      {
+                          return std::all_of(this->daemons.begin(), this->daemons.end(),
+                                             [version](const daemon_node& daemon)
+                                             {
+                                                 const json status = status_of(daemon);
+                                                 return status.is_object() &&
+                                                        status.value("version", 0ULL) >= version;
+                                             });
+                      });
+}
+
+bool mesh::wait_upstreams(const std::string& service, std::size_t count, time_ms limit)
+{
+    const auto known = [&](const daemon_node& daemon)
+    {
+        std::size_t found = 0;
+        const json status = status_of(daemon);
+        if (!status.is_object())
+        {
+            return false;
+        }
+        for (const json& member : status["members"])
+        {
+            for (const json& upstream : member["upstreams"])
+            {
+                found += upstream["service"] == service && upstream["state"] == "up" &&
+                                 member["state"] == "alive"
+                             ? 1
+                             : 0;
+            }
+        }
+        return found == count;
+    };
+    return wait_until(limit, [&]
+                      { return std::all_of(this->daemons.begin(), this->daemons.end(), known); });
+}
+
+json status_of(const daemon_node& daemon)
+{
+    return get_json(daemon.control_port, "/v1/status");
+}
+
+json service_operations(const std::string& service, const std::string& version,
+                        const std::string& prefix)
+{
+    return json::array(
+        {{{"op", "put_service"}, {"name", service}, {"versions", {{version, 100}}}},
+         {{"op", "put_route"}, {"name", service}, {"prefix", prefix}, {"service", service}}});
+}
+
+} // namespace sardinepoint::rig
--- /dev/null
+++ b/support/rig/mesh.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "rig/process.hpp"
+
+#include "sardinepoint/event_loop.hpp"
+#include "sardinepoint/http_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sardinepoint::rig
+{
+
+/** Sends one request and waits for its end. */
+http_result call(std::uint16_t port, http_call request, std::string_view target);
+
+/** GET that expects JSON; a null value if there is no valid answer. */
+nlohmann::json get_json(std::uint16_t port, std::string_view target, time_ms timeout = 2000);
+
+/** POST of JSON that expects JSON; a null value if there is no valid answer. */
+nlohmann::json post_json(std::uint16_t port, std::string_view target, const nlohmann::json& body,
+                         time_ms timeout = 5000);
+
+/** Polls the condition until it holds or the time is up; returns whether it held. */
+bool wait_until(time_ms limit, const std::function<bool()>& condition);
+
+/** Lets time pass while no condition can be awaited, e.g. between load steps. */
+void pause(time_ms duration);
+
+/** A daemon of the mesh together with its settings, so that it can be started again. */
+struct daemon_node
+{
+    std::string id;
+    std::string domain;
+    std::string settings_file;
+    std::string log_file;
+    std::uint16_t data_port = 0;
+    std::uint16_t control_port = 0;
+    std::unique_ptr<process> running;
+};
+
+/** An upstream stand-in of the mesh. */
+struct upstream_node
+{
+    std::vector<std::string> arguments;
+    std::string log_file;
+    std::uint16_t port = 0;
+    std::unique_ptr<process> running;
+};
+
+struct mesh_options
+{
+    std::string build_dir;
+    /** Appended to each daemon's settings file. */
+    std::string extra_settings;
+    std::string log_level = "info";
+    time_ms log_poll_wait = 1000;
+    time_ms snapshot_interval = 300000;
+    std::uint64_t appends_per_second = 500;
+    std::uint64_t retention = 100000;
+    /** Log lines of all processes go here; removed at the end unless KEEP_RIG is set. */
+    std::string name = "mesh";
+};
+
+struct upstream_options
+{
+    std::string service = "duty-board";
+    std::string version = "v1";
+    int slots = 15;
+    int connections = 130;
+    time_ms work = 5;
+    time_ms announce_interval = 300;
+};
+
+/** Processes of a whole system on this machine. */
+class mesh
+{
+public:
+    explicit mesh(mesh_options options);
+    ~mesh();
+    mesh(const mesh&) = delete;
+    mesh& operator=(const mesh&) = delete;
+
+    /** Starts a daemon; ports are taken from the kernel and kept over restarts. */
+    daemon_node& add_daemon(const std::string& id, const std::string& domain);
+    /** Starts an upstream that announces itself to the daemon. */
+    upstream_node& add_upstream(const daemon_node& daemon, const upstream_options& options);
+
+    /** Starts a daemon again after it ended; its ports stay the same. */
+    void restart(daemon_node& daemon);
+    void restart(upstream_node& upstream);
+
+    std::uint16_t log_port() const;
+    void set_log_faults(const nlohmann::json& faults);
+    nlohmann::json log_stats();
+
+    /** Submits a patch through a daemon; the answer's body with "status" added. */
+    nlohmann::json submit(const daemon_node& daemon, std::uint64_t base,
+                          const nlohmann::json& operations, const std::string& id = "");
+
+    bool wait_ready(time_ms limit);
+    bool wait_version(std::uint64_t version, time_ms limit);
+    /** Whether all daemons know this number of upstreams of their own domain's service. */
+    bool wait_upstreams(const std::string& service, std::size_t count, time_ms limit);
+
+    std::deque<daemon_node> daemons;
+    std::deque<upstream_node> upstreams;
+
+private:
+    void write_settings(daemon_node& daemon) const;
+    void start(daemon_node& daemon);
+
+    mesh_options options;
+    std::string work_dir;
+    std::unique_ptr<process> log;
+    int last_patch = 0;
+};
+
+nlohmann::json status_of(const daemon_node& daemon);
+
+/** Operations for a service whose only version has all traffic, with a route. */
+nlohmann::json service_operations(const std::string& service, const std::string& version,
+                                  const std::string& prefix);
+
+} // namespace sardinepoint::rig
--- /dev/null
+++ b/support/rig/process.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sardinepoint::rig
+{
+
+/** A child process whose first line of output names its ports; killed by the destructor. */
+class process
+{
+public:
+    /** Starts a program of the build folder and waits for its first line. */
+    process(const std::string& program, const std::vector<std::string>& arguments,
+            const std::string& log_file);
+    ~process();
+    process(process&& other) noexcept;
+    process& operator=(process&& other) noexcept;
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    /** Value after "NAME=" in the first line. */
+    std::uint16_t port(std::string_view name) const;
+
+    /** Sends a signal; nothing happens if the process has ended. */
+    void signal(int number) const;
+
+    /** Waits for the end of the process; returns its exit status, or -1 after a signal. */
+    int wait();
+
+    /** Whether the process has not ended yet. */
+    bool running();
+
+    pid_t id() const;
+
+private:
+    void reap(int status);
+
+    pid_t pid = -1;
+    int exit_status = 0;
+    std::string first_line;
+};
+
+/** User and system time of a process in seconds. */
+double cpu_seconds(pid_t pid);
+
+/** Resident memory of a process in bytes. */
+std::uint64_t resident_bytes(pid_t pid);
+
+} // namespace sardinepoint::rig
--- /dev/null
+++ b/test/fold-test.cpp
@@ -0,0 +1,232 @@
+#define BOOST_TEST_MODULE fold
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "sardinepoint/fold.hpp"
+
+#include <algorithm>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace sardinepoint;
+
+namespace
+{
+
+const std::string service_ops =
+    R"([{"op":"put_service","name":"duty-board","versions":{"v1":100}},
+        {"op":"put_route","name":"duty","prefix":"/duty","service":"duty-board"}])";
+
+std::string make_patch(const std::string& id, int base, const std::string& ops)
+{
+    return R"({"kind":"patch","id":")" + id + R"(","base":)" + std::to_string(base) +
+           R"(,"created_ms":1000,"ops":)" + ops + "}";
+}
+
+std::string start_move_ops(const std::string& extra)
+{
+    return R"([{"op":"start_move","id":"m1","service":"duty-board","from":"v1","to":"v2",)" +
+           extra + "}]";
+}
+
+std::string outcome(const std::string& state)
+{
+    return R"({"kind":"outcome","move":"m1","state":")" + state + R"(","reason":"test"})";
+}
+
+fold_result fold_next(config_state& state, const std::string& body)
+{
+    return fold_record(state, {.offset = state.next_offset, .appended = 1, .body = body});
+}
+
+/** State with a service, a route and a running move. */
+config_state state_with_move()
+{
+    config_state state;
+    fold_next(state, make_patch("p1", 0, service_ops));
+    fold_next(state, make_patch("p2", 1, start_move_ops(R"("deadline_ms":9000)")));
+    return state;
+}
+
+/** A patch that must be rejected whole and what its error must name. */
+struct bad_patch
+{
+    std::string ops;
+    std::string named;
+};
+
+std::ostream& operator<<(std::ostream& out, const bad_patch& value)
+{
+    return out << value.named;
+}
+
+const std::vector<bad_patch> bad_patches{
+    {R"([])", "'ops'"},
+    {R"({})", "'ops'"},
+    {R"([{"op":"explode"}])", "explode"},
+    {R"([{"op":"put_route","name":"a","prefix":"duty","service":"duty-board"}])", "'prefix'"},
+    {R"([{"op":"put_route","name":"a","prefix":"/a","service":"nobody"}])", "nobody"},
+    {R"([{"op":"put_route","name":"a","prefix":"/duty","service":"duty-board"}])", "/duty"},
+    {R"([{"op":"put_route","name":"a","prefix":"/a","service":"duty-board","colour":1}])",
+     "'colour'"},
+    {R"([{"op":"put_route","name":"a","prefix":"/a","service":"duty-board","timeout_ms":"5"}])",
+     "'timeout_ms'"},
+    {R"([{"op":"put_service","name":"x","versions":{"v1":101}}])", "'versions'"},
+    {R"([{"op":"put_service","name":"x","versions":{"v1":"all"}}])", "'versions'"},
+    {R"([{"op":"put_service","name":"x","versions":{"v1":60,"v2":30}}])", "sum 90"},
+    {R"([{"op":"remove_service","name":"nobody"}])", "nobody"},
+    {R"([{"op":"remove_service","name":"duty-board"}])", "duty-board"},
+    {R"([{"op":"remove_route","name":"nowhere"}])", "nowhere"},
+    {R"([{"op":"cancel_move","id":"m9"}])", "m9"},
+    {start_move_ops(R"("deadline_ms":500)"), "'deadline_ms'"},
+    {start_move_ops(R"("deadline_ms":"soon")"), "'deadline_ms'"},
+    {start_move_ops(R"("deadline_ms":9000,"steps":[{"share":5,"start_fraction":0}])"), "'steps'"},
+    {start_move_ops(R"("deadline_ms":9000,"steps":[{"share":105,"start_fraction":0}])"), "'share'"},
+    {start_move_ops(R"("deadline_ms":9000,"policy":{"hurry":true})"), "'hurry'"},
+};
+
+} // namespace
+
+// Guards against a part of a bad patch being applied, and against an error that names nothing.
+BOOST_DATA_TEST_CASE(bad_patch_is_rejected_whole, boost::unit_test::data::make(bad_patches), sample)
+{
+    config_state state;
+    fold_next(state, make_patch("p1", 0, service_ops));
+    const config_state before = state;
+    // A valid operation in front of the bad one must not take effect either.
+    std::string ops = sample.ops;
+    if (ops.size() > 2 && ops.front() == '[')
+    {
+        ops.insert(1, R"({"op":"put_service","name":"extra","versions":{"v1":100}},)");
+    }
+    const fold_result result = fold_next(state, make_patch("p2", 1, ops));
+    BOOST_TEST((result.kind == fold_kind::patch_rejected || result.kind == fold_kind::malformed));
+    BOOST_TEST(result.reason.message.find(sample.named) != std::string::npos,
+               result.reason.message);
+    BOOST_TEST(!result.reason.remedy.empty());
+    BOOST_TEST(state.version == before.version);
+    BOOST_TEST(state.services.size() == before.services.size());
+    BOOST_TEST(state.next_offset == before.next_offset + 1);
+}
+
+// Guards against garbage on the log stopping the replay or changing the configuration.
+BOOST_DATA_TEST_CASE(odd_record_is_skipped,
+                     boost::unit_test::data::make(std::vector<std::string>{
+                         "", "null", "[1]", "{", R"({"kind":1})", R"({"kind":"unknown"})",
+                         R"({"kind":"patch"})", "\xff\xfe", R"({"kind":"outcome","move":"m1"})"}),
+                     body)
+{
+    config_state state;
+    fold_next(state, make_patch("p1", 0, service_ops));
+    fold_next(state, body);
+    BOOST_TEST(state.version == 1U);
+    BOOST_TEST(state.next_offset == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(second_of_two_racing_patches_is_stale)
+{
+    config_state state;
+    BOOST_TEST(
+        (fold_next(state, make_patch("a", 0, service_ops)).kind == fold_kind::patch_accepted));
+    const fold_result second = fold_next(state, make_patch("b", 0, service_ops));
+    BOOST_TEST((second.reason.kind == error_kind::stale_version));
+    BOOST_TEST(state.version == 1U);
+}
+
+// Guards against a patch being applied twice after a lost answer to its append.
+BOOST_AUTO_TEST_CASE(repeated_patch_id_is_folded_once)
+{
+    config_state state;
+    fold_next(state, make_patch("a", 0, service_ops));
+    BOOST_TEST(
+        (fold_next(state, make_patch("a", 1, service_ops)).kind == fold_kind::patch_repeated));
+    BOOST_TEST(state.version == 1U);
+    BOOST_REQUIRE(find_patch(state, "a") != nullptr);
+    BOOST_TEST(find_patch(state, "a")->version == 1U);
+}
+
+// Guards against updates that cross in flight: a record out of order must change nothing.
+BOOST_AUTO_TEST_CASE(record_out_of_order_changes_nothing)
+{
+    config_state state;
+    fold_next(state, make_patch("a", 0, service_ops));
+    const std::string before = dump_state(state);
+    for (const std::uint64_t offset : {0ULL, 2ULL})
+    {
+        BOOST_TEST((fold_record(state, {.offset = offset, .appended = 1, .body = "{}"}).kind ==
+                    fold_kind::out_of_order));
+    }
+    BOOST_TEST(dump_state(state) == before);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawal_wins_over_completion)
+{
+    for (const bool done_first : {true, false})
+    {
+        config_state state = state_with_move();
+        fold_next(state, outcome(done_first ? "done" : "withdrawn"));
+        fold_next(state, outcome(done_first ? "withdrawn" : "done"));
+        BOOST_TEST((state.moves.at("m1").state == move_state::withdrawn));
+        BOOST_TEST(state.services.at("duty-board").versions.at("v1") == 100);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(completed_move_changes_the_shares)
+{
+    config_state state = state_with_move();
+    BOOST_TEST((fold_next(state, outcome("done")).kind == fold_kind::move_ended));
+    BOOST_TEST(state.services.at("duty-board").versions.at("v2") == 100);
+    BOOST_TEST(!state.services.at("duty-board").versions.contains("v1"));
+    // An outcome doesn't make an operator's patch stale.
+    BOOST_TEST(state.version == 2U);
+}
+
+// Guards against daemons that replay differently, e.g. one from a snapshot in the middle.
+BOOST_AUTO_TEST_CASE(replay_from_any_snapshot_gives_the_same_state)
+{
+    const unsigned seed = std::random_device{}();
+    BOOST_TEST_MESSAGE("seed " << seed);
+    std::mt19937 random(seed);
+    std::vector<std::string> bodies;
+    for (int i = 0; i < 300; ++i)
+    {
+        const int base = std::uniform_int_distribution<int>(0, 40)(random);
+        const std::string id = "p" + std::to_string(random() % 200);
+        const std::vector<std::string> choices{
+            make_patch(id, base, service_ops), make_patch(id, base, bad_patches[i % 20].ops),
+            outcome(i % 2 == 0 ? "done" : "withdrawn"),
+            make_patch(id, base, start_move_ops(R"("deadline_ms":9000)"))};
+        bodies.push_back(choices[random() % choices.size()]);
+    }
+    config_state whole;
+    const std::size_t cut = random() % bodies.size();
+    config_state resumed;
+    for (std::size_t i = 0; i < bodies.size(); ++i)
+    {
+        if (i == cut)
+        {
+            error reason;
+            const auto restored = restore_snapshot(make_snapshot(whole), reason);
+            BOOST_REQUIRE_MESSAGE(restored, describe(reason));
+            resumed = *restored;
+        }
+        fold_next(whole, bodies[i]);
+        if (i >= cut)
+        {
+            fold_next(resumed, bodies[i]);
+        }
+    }
+    BOOST_TEST(dump_state(whole) == dump_state(resumed));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_snapshot_is_rejected)
+{
+    std::string snapshot = make_snapshot(state_with_move());
+    const std::size_t position = snapshot.find("duty-board");
+    snapshot[position] = 'x';
+    error reason;
+    BOOST_TEST(!restore_snapshot(snapshot, reason));
+    BOOST_TEST(!reason.message.empty());
+}
--- /dev/null
+++ b/test/whole-path-test.cpp
@@ -0,0 +1,70 @@
+#define BOOST_TEST_MODULE whole_path
+#include <boost/test/unit_test.hpp>
+
+#include "rig/mesh.hpp"
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr time_ms start_limit_ms = 10000;
+
+/** Two failure domains with one daemon and one upstream each. */
+struct two_domains
+{
+    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .name = "whole-path"}};
+
+    two_domains()
+    {
+        for (const char* domain : {"tallinn-a", "tallinn-b"})
+        {
+            rig::daemon_node& daemon = this->mesh.add_daemon(std::string("vm-") + domain, domain);
+            this->mesh.add_upstream(daemon, {});
+        }
+        BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+        BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 1, start_limit_ms));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(patch_is_served_by_every_daemon, two_domains)
+{
+    const json accepted = this->mesh.submit(this->mesh.daemons[0], 0,
+                                            rig::service_operations("duty-board", "v1", "/duty"));
+    BOOST_TEST(accepted["status"] == 200);
+    BOOST_TEST(accepted["version"] == 1);
+    BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
+    for (const rig::daemon_node& daemon : this->mesh.daemons)
+    {
+        const json answer = rig::get_json(daemon.data_port, "/duty/today?crew=7");
+        BOOST_TEST(answer["status"] == 200);
+        BOOST_TEST(answer["target"] == "/duty/today?crew=7");
+    }
+}
+
+// Guards against a second operator overwriting what the first one published.
+BOOST_FIXTURE_TEST_CASE(stale_patch_is_refused_with_the_remedy, two_domains)
+{
+    const json operations = rig::service_operations("duty-board", "v1", "/duty");
+    BOOST_TEST(this->mesh.submit(this->mesh.daemons[0], 0, operations)["status"] == 200);
+    BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
+    const json refused = this->mesh.submit(this->mesh.daemons[1], 0, operations);
+    BOOST_TEST(refused["status"] == 409);
+    BOOST_TEST(refused["error"]["kind"] == "stale_version");
+    BOOST_TEST(!refused["error"]["remedy"].get<std::string>().empty());
+}
+
+// Guards against a call being sent to another service when its own has no upstream.
+BOOST_FIXTURE_TEST_CASE(route_without_upstream_is_not_run, two_domains)
+{
+    BOOST_TEST(this->mesh.submit(this->mesh.daemons[0], 0,
+                                 rig::service_operations("dispatch", "v1", "/"))["status"] == 200);
+    BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
+    const http_result answer = rig::call(this->mesh.daemons[0].data_port, {}, "/crew");
+    BOOST_TEST(answer.response.status == 503);
+    BOOST_TEST(find_header(answer.response.headers, "Sardinepoint-Outcome").value_or("") ==
+               "not-run");
+}
