Relay stand-in for partitions, address per failure domain in the rig

Cause: proofs under partitions need a way to cut processes off from each other and from the log. Change: daemons connect from their own address and may advertise the port of a forwarder; the relay holds, closes or delays the bytes between two addresses. Measured: an isolated daemon stays on version 0 for 1 s while the other one is on version 1, and catches up after the cut heals (whole-path-test).

--- a/include/sardinepoint/http_client.hpp
+++ b/include/sardinepoint/http_client.hpp
@@ -67,6 +67,8 @@
     long max_connections = 256;
     long max_connections_per_peer = 130;
     std::size_t max_body_bytes = 16U << 20U;
+    /** Address that connections come from; empty lets the system choose. */
+    std::string local_address;
 };
 
 http_client_ptr open_http_client(event_loop& loop, const http_client_options& options);
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -28,6 +28,9 @@
     std::string address = "127.0.0.1";
     std::uint16_t data_port = 0;
     std::uint16_t control_port = 0;
+    /** Ports told to peers; 0 means the ports listened on. */
+    std::uint16_t advertised_data_port = 0;
+    std::uint16_t advertised_control_port = 0;
     time_ms shutdown_timeout = 10000;
     log_level level = log_level::info;
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -58,6 +58,14 @@
     }
     self.config.control_port = bound_port(*self.control_server);
     self.config.data_port = bound_port(*self.data_server);
+    if (self.config.advertised_control_port == 0)
+    {
+        self.config.advertised_control_port = self.config.control_port;
+    }
+    if (self.config.advertised_data_port == 0)
+    {
+        self.config.advertised_data_port = self.config.data_port;
+    }
     return true;
 }
 
@@ -65,12 +73,13 @@
 {
     self.incarnation = static_cast<std::uint64_t>(wall_now());
     self.members.self_id = self.config.id;
-    self.keys.id =
-        self.config.id + "@" + to_string(endpoint{self.config.address, self.config.data_port});
+    self.keys.id = self.config.id + "@" +
+                   to_string(endpoint{self.config.address, self.config.advertised_data_port});
     self.keys.incarnation = self.incarnation;
     self.balancing.policy = self.config.balancing;
-    self.data_client = open_http_client(*self.loop, {});
-    self.control_client = open_http_client(*self.loop, {});
+    const http_client_options client_options{.local_address = self.config.address};
+    self.data_client = open_http_client(*self.loop, client_options);
+    self.control_client = open_http_client(*self.loop, client_options);
     self.log = {.http = self.control_client.get(),
                 .service = self.config.log,
                 .timeout = self.config.log_timeout,
@@ -126,8 +135,8 @@
                          .domain = self.config.domain,
                          .region = self.config.region,
                          .address = self.config.address,
-                         .data_port = self.config.data_port,
-                         .control_port = self.config.control_port,
+                         .data_port = self.config.advertised_data_port,
+                         .control_port = self.config.advertised_control_port,
                          .served_offset = self.config_replica.state.next_offset,
                          .served_version = self.config_replica.state.version};
     record.state = self.leaving ? member_state::leaving : member_state::alive;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -333,6 +333,11 @@
     active.handle.reset(curl_easy_init());
     CURL* handle = active.handle.get();
     set_options(handle, active);
+    if (!client.options.local_address.empty())
+    {
+        const std::string interface = "host!" + client.options.local_address;
+        curl_easy_setopt(handle, CURLOPT_INTERFACE, interface.c_str());
+    }
     set_method(handle, active);
     set_headers(handle, active);
     client.ids[handle] = active.id;
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -35,6 +35,11 @@
 constexpr std::size_t joined_contacts = 3;
 constexpr std::uint64_t window_bits = 64;
 
+endpoint own_control_endpoint(const node& self)
+{
+    return {self.config.address, self.config.advertised_control_port};
+}
+
 std::uint64_t hash_json(const json& value)
 {
     return detail::hash_of(value.dump());
@@ -438,7 +443,7 @@
 {
     for (const endpoint& seed : self.config.seeds)
     {
-        if (to_string(seed) != to_string(endpoint{self.config.address, self.config.control_port}))
+        if (to_string(seed) != to_string(own_control_endpoint(self)))
         {
             sync_with(self, seed, {});
         }
@@ -466,10 +471,9 @@
 
 void announce_contact(node& self)
 {
-    const json body{
-        {"id", self.config.id},
-        {"domain", self.config.domain},
-        {"control", to_string(endpoint{self.config.address, self.config.control_port})}};
+    const json body{{"id", self.config.id},
+                    {"domain", self.config.domain},
+                    {"control", to_string(own_control_endpoint(self))}};
     append_record(self.log, member_stream, body.dump(),
                   [&self](const append_result& result)
                   {
@@ -496,7 +500,7 @@
     json body = records_since(self, self.config_replica.state.next_offset);
     body["id"] = self.config.id;
     body["domain"] = self.config.domain;
-    body["control"] = to_string(endpoint{self.config.address, self.config.control_port});
+    body["control"] = to_string(own_control_endpoint(self));
     body["have"] = self.config_replica.state.next_offset;
     body["version"] = version;
     body["summary"] = summary;
--- a/support/rig/mesh.cpp
+++ b/support/rig/mesh.cpp
@@ -34,12 +34,12 @@
 }
 
 /** A port that is free now; the daemon that gets it listens shortly after. */
-std::uint16_t free_port()
+std::uint16_t free_port(const std::string& ip)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     socklen_t length = sizeof address;
     const bool bound =
         ::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0 &&       // NOLINT
@@ -68,11 +68,11 @@
 
 } // namespace
 
-http_result call(std::uint16_t port, http_call request, std::string_view target)
+http_result call(const endpoint& peer, http_call request, std::string_view target)
 {
     event_loop_ptr loop = make_event_loop();
     http_client_ptr client = open_http_client(*loop, {});
-    request.url = "http://127.0.0.1:" + std::to_string(port) + std::string(target);
+    request.url = "http://" + to_string(peer) + std::string(target);
     http_result answer;
     send_request(*client, std::move(request),
                  [&](http_result result)
@@ -84,15 +84,15 @@
     return answer;
 }
 
-json get_json(std::uint16_t port, std::string_view target, time_ms timeout)
+json get_json(const endpoint& peer, std::string_view target, time_ms timeout)
 {
-    return parse_answer(call(port, {.timeout = timeout}, target));
+    return parse_answer(call(peer, {.timeout = timeout}, target));
 }
 
-json post_json(std::uint16_t port, std::string_view target, const json& body, time_ms timeout)
+json post_json(const endpoint& peer, std::string_view target, const json& body, time_ms timeout)
 {
     return parse_answer(
-        call(port, {.method = "POST", .body = body.dump(), .timeout = timeout}, target));
+        call(peer, {.method = "POST", .body = body.dump(), .timeout = timeout}, target));
 }
 
 bool wait_until(time_ms limit, const std::function<bool()>& condition)
@@ -123,12 +123,20 @@
                                  "--appends-per-second=" +
                                      std::to_string(this->options.appends_per_second)},
         this->work_dir + "/log.log");
+    if (this->options.relayed)
+    {
+        this->relay =
+            std::make_unique<process>(this->options.build_dir + "/standin_relay",
+                                      std::vector<std::string>{}, this->work_dir + "/relay.log");
+        this->relayed_log_port = this->add_forward(this->log_endpoint());
+    }
 }
 
 mesh::~mesh()
 {
     this->upstreams.clear();
     this->daemons.clear();
+    this->relay.reset();
     this->log.reset();
     if (std::getenv("KEEP_RIG") == nullptr)
     {
@@ -140,10 +148,15 @@
 void mesh::write_settings(daemon_node& daemon) const
 {
     std::ofstream file(daemon.settings_file);
+    const std::uint16_t log_port =
+        this->options.relayed ? this->relayed_log_port : this->log_endpoint().port;
     file << "[daemon]\nid = " << daemon.id << "\nregion = ee-north\ndomain = " << daemon.domain
-         << "\ndata_port = " << daemon.data_port << "\ncontrol_port = " << daemon.control_port
+         << "\naddress = " << daemon.data.address << "\ndata_port = " << daemon.data.port
+         << "\ncontrol_port = " << daemon.control.port
+         << "\nadvertised_data_port = " << daemon.relayed_data_port
+         << "\nadvertised_control_port = " << daemon.relayed_control_port
          << "\nlog_level = " << this->options.log_level
-         << "\n[log]\nendpoint = 127.0.0.1:" << this->log_port()
+         << "\n[log]\nendpoint = " << this->log_address() << ":" << log_port
          << "\npoll_wait_ms = " << this->options.log_poll_wait
          << "\nsnapshot_interval_ms = " << this->options.snapshot_interval << "\n"
          << this->options.extra_settings;
@@ -163,8 +176,14 @@
     daemon.domain = domain;
     daemon.settings_file = this->work_dir + "/" + id + ".ini";
     daemon.log_file = this->work_dir + "/" + id + ".log";
-    daemon.data_port = free_port();
-    daemon.control_port = free_port();
+    const std::string ip = this->address_of(domain);
+    daemon.data = {ip, free_port(ip)};
+    daemon.control = {ip, free_port(ip)};
+    if (this->options.relayed)
+    {
+        daemon.relayed_data_port = this->add_forward(daemon.data);
+        daemon.relayed_control_port = this->add_forward(daemon.control);
+    }
     this->write_settings(daemon);
     this->start(daemon);
     return daemon;
@@ -173,12 +192,15 @@
 upstream_node& mesh::add_upstream(const daemon_node& daemon, const upstream_options& options)
 {
     upstream_node& upstream = this->upstreams.emplace_back();
-    upstream.port = free_port();
-    upstream.log_file = this->work_dir + "/upstream-" + std::to_string(upstream.port) + ".log";
+    const std::string ip = daemon.data.address;
+    upstream.address = {ip, free_port(ip)};
+    upstream.log_file =
+        this->work_dir + "/upstream-" + std::to_string(upstream.address.port) + ".log";
     upstream.arguments = {"--service=" + options.service,
                           "--version=" + options.version,
-                          "--daemon=127.0.0.1:" + std::to_string(daemon.control_port),
-                          "--port=" + std::to_string(upstream.port),
+                          "--daemon=" + to_string(daemon.control),
+                          "--address=" + ip,
+                          "--port=" + std::to_string(upstream.address.port),
                           "--slots=" + std::to_string(options.slots),
                           "--connections=" + std::to_string(options.connections),
                           "--work-ms=" + std::to_string(options.work),
@@ -200,26 +222,80 @@
                                                  upstream.arguments, upstream.log_file);
 }
 
-std::uint16_t mesh::log_port() const
+endpoint mesh::log_endpoint() const
+{
+    return {this->log_address(), this->log->port("port")};
+}
+
+std::string mesh::log_address() const
+{
+    return "127.0.0.1";
+}
+
+std::string mesh::address_of(const std::string& domain)
+{
+    auto found = std::find(this->domains.begin(), this->domains.end(), domain);
+    if (found == this->domains.end())
+    {
+        this->domains.push_back(domain);
+        found = std::prev(this->domains.end());
+    }
+    return "127.0." + std::to_string(found - this->domains.begin() + 1) + ".1";
+}
+
+std::uint16_t mesh::add_forward(const endpoint& target)
 {
-    return this->log->port("port");
+    const json answer = post_json({"127.0.0.1", this->relay->port("port")}, "/forwards",
+                                  {{"target", to_string(target)}});
+    return answer.at("port").get<std::uint16_t>();
+}
+
+void mesh::set_cuts(const std::vector<cut>& cuts)
+{
+    json rules = json::array();
+    for (const cut& wanted : cuts)
+    {
+        rules.push_back({{"source", wanted.source},
+                         {"target", wanted.target},
+                         {"action", wanted.action},
+                         {"delay_ms", wanted.delay}});
+    }
+    post_json({"127.0.0.1", this->relay->port("port")}, "/rules", rules);
+}
+
+void mesh::isolate(const std::string& domain, bool from_log, const std::string& action)
+{
+    const std::string own = this->address_of(domain);
+    std::vector<cut> cuts;
+    for (const std::string& other : this->domains)
+    {
+        if (other != domain)
+        {
+            cuts.push_back({.source = own, .target = this->address_of(other), .action = action});
+        }
+    }
+    if (from_log)
+    {
+        cuts.push_back({.source = own, .target = this->log_address(), .action = action});
+    }
+    this->set_cuts(cuts);
 }
 
 void mesh::set_log_faults(const json& faults)
 {
-    post_json(this->log_port(), "/faults", faults);
+    post_json(this->log_endpoint(), "/faults", faults);
 }
 
 json mesh::log_stats()
 {
-    return get_json(this->log_port(), "/stats");
+    return get_json(this->log_endpoint(), "/stats");
 }
 
 json mesh::submit(const daemon_node& daemon, std::uint64_t base, const json& operations,
                   const std::string& id)
 {
     const std::string patch_id = id.empty() ? "patch-" + std::to_string(++this->last_patch) : id;
-    return post_json(daemon.control_port, "/v1/patches",
+    return post_json(daemon.control, "/v1/patches",
                      {{"id", patch_id}, {"base", base}, {"ops", operations}});
 }
 
@@ -281,7 +357,7 @@
 
 json status_of(const daemon_node& daemon)
 {
-    return get_json(daemon.control_port, "/v1/status");
+    return get_json(daemon.control, "/v1/status");
 }
 
 json service_operations(const std::string& service, const std::string& version,
--- a/support/rig/mesh.hpp
+++ b/support/rig/mesh.hpp
@@ -4,6 +4,7 @@
 
 #include "sardinepoint/event_loop.hpp"
 #include "sardinepoint/http_client.hpp"
+#include "sardinepoint/settings.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -21,13 +22,13 @@
 {
 
 /** Sends one request and waits for its end. */
-http_result call(std::uint16_t port, http_call request, std::string_view target);
+http_result call(const endpoint& peer, http_call request, std::string_view target);
 
 /** GET that expects JSON; a null value if there is no valid answer. */
-nlohmann::json get_json(std::uint16_t port, std::string_view target, time_ms timeout = 2000);
+nlohmann::json get_json(const endpoint& peer, std::string_view target, time_ms timeout = 2000);
 
 /** POST of JSON that expects JSON; a null value if there is no valid answer. */
-nlohmann::json post_json(std::uint16_t port, std::string_view target, const nlohmann::json& body,
+nlohmann::json post_json(const endpoint& peer, std::string_view target, const nlohmann::json& body,
                          time_ms timeout = 5000);
 
 /** Polls the condition until it holds or the time is up; returns whether it held. */
@@ -43,8 +44,11 @@
     std::string domain;
     std::string settings_file;
     std::string log_file;
-    std::uint16_t data_port = 0;
-    std::uint16_t control_port = 0;
+    endpoint data;
+    endpoint control;
+    /** Ports of the relay in front of the daemon; 0 without relay. */
+    std::uint16_t relayed_data_port = 0;
+    std::uint16_t relayed_control_port = 0;
     std::unique_ptr<process> running;
 };
 
@@ -53,10 +57,19 @@
 {
     std::vector<std::string> arguments;
     std::string log_file;
-    std::uint16_t port = 0;
+    endpoint address;
     std::unique_ptr<process> running;
 };
 
+/** Two addresses between which traffic is held, closed or delayed. */
+struct cut
+{
+    std::string source;
+    std::string target;
+    std::string action = "hold";
+    time_ms delay = 0;
+};
+
 struct mesh_options
 {
     std::string build_dir;
@@ -67,6 +80,8 @@
     time_ms snapshot_interval = 300000;
     std::uint64_t appends_per_second = 500;
     std::uint64_t retention = 100000;
+    /** Puts a relay between the daemons, and between them and the log, so that they can be cut. */
+    bool relayed = false;
     /** Log lines of all processes go here; removed at the end unless KEEP_RIG is set. */
     std::string name = "mesh";
 };
@@ -99,7 +114,16 @@
     void restart(daemon_node& daemon);
     void restart(upstream_node& upstream);
 
-    std::uint16_t log_port() const;
+    /** Address of a failure domain's processes; each domain has its own loopback address. */
+    std::string address_of(const std::string& domain);
+    /** Address under which the daemons reach the log. */
+    std::string log_address() const;
+    /** Replaces all cuts. */
+    void set_cuts(const std::vector<cut>& cuts);
+    /** Cuts a failure domain off from all others and, if wanted, from the log. */
+    void isolate(const std::string& domain, bool from_log, const std::string& action = "hold");
+
+    endpoint log_endpoint() const;
     void set_log_faults(const nlohmann::json& faults);
     nlohmann::json log_stats();
 
@@ -116,12 +140,16 @@
     std::deque<upstream_node> upstreams;
 
 private:
+    std::uint16_t add_forward(const endpoint& target);
     void write_settings(daemon_node& daemon) const;
     void start(daemon_node& daemon);
 
     mesh_options options;
     std::string work_dir;
     std::unique_ptr<process> log;
+    std::unique_ptr<process> relay;
+    std::uint16_t relayed_log_port = 0;
+    std::vector<std::string> domains;
     int last_patch = 0;
 };
 
--- a/test/whole-path-test.cpp
+++ b/test/whole-path-test.cpp
@@ -39,7 +39,7 @@
     BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
     for (const rig::daemon_node& daemon : this->mesh.daemons)
     {
-        const json answer = rig::get_json(daemon.data_port, "/duty/today?crew=7");
+        const json answer = rig::get_json(daemon.data, "/duty/today?crew=7");
         BOOST_TEST(answer["status"] == 200);
         BOOST_TEST(answer["target"] == "/duty/today?crew=7");
     }
@@ -63,8 +63,25 @@
     BOOST_TEST(this->mesh.submit(this->mesh.daemons[0], 0,
                                  rig::service_operations("dispatch", "v1", "/"))["status"] == 200);
     BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
-    const http_result answer = rig::call(this->mesh.daemons[0].data_port, {}, "/crew");
+    const http_result answer = rig::call(this->mesh.daemons[0].data, {}, "/crew");
     BOOST_TEST(answer.response.status == 503);
     BOOST_TEST(find_header(answer.response.headers, "Sardinepoint-Outcome").value_or("") ==
                "not-run");
 }
+
+// Guards against a rig whose cuts don't cut: the proofs under partitions rely on it.
+BOOST_AUTO_TEST_CASE(isolated_domain_gets_the_patch_only_after_the_cut_heals)
+{
+    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .relayed = true, .name = "whole-path-cut"}};
+    rig::daemon_node& first = mesh.add_daemon("vm-a", "tallinn-a");
+    rig::daemon_node& second = mesh.add_daemon("vm-b", "tallinn-b");
+    BOOST_REQUIRE(mesh.wait_ready(start_limit_ms));
+    mesh.isolate("tallinn-b", true);
+    BOOST_TEST(mesh.submit(first, 0,
+                           rig::service_operations("duty-board", "v1", "/duty"))["status"] == 200);
+    constexpr time_ms cut_time_ms = 1000;
+    BOOST_TEST(!rig::wait_until(cut_time_ms,
+                                [&] { return rig::status_of(second).value("version", 0) != 0; }));
+    mesh.set_cuts({});
+    BOOST_TEST(mesh.wait_version(1, start_limit_ms));
+}
