Rename the metrics' histogram type

Cause: moves use a histogram type of the same name with other bins. Change: the metrics page's type is latency_metric. Measured: build and tests as before.

--- a/include/sardinepoint/metrics.hpp
+++ b/include/sardinepoint/metrics.hpp
@@ -11,7 +11,7 @@
 {
 
 /** Latency histogram with logarithmic bins from 10 us to 100 s. */
-using latency_histogram = decltype(boost::histogram::make_histogram(
+using latency_metric = decltype(boost::histogram::make_histogram(
     boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(70, 1e-5,
                                                                                     100.0)));
 
@@ -20,7 +20,7 @@
 {
     std::map<std::string, std::uint64_t, std::less<>> counters;
     std::map<std::string, double, std::less<>> gauges;
-    std::map<std::string, latency_histogram, std::less<>> latencies;
+    std::map<std::string, latency_metric, std::less<>> latencies;
 };
 
 /** Adds to a counter. The name may carry labels as in name{key="value"}. */
@@ -33,7 +33,7 @@
 void observe(metrics& all, std::string_view name, double seconds);
 
 /** Upper edge in seconds of the bin that holds the quantile; 0 without samples. */
-double quantile(const latency_histogram& latency, double fraction);
+double quantile(const latency_metric& latency, double fraction);
 
 /** All values as a text page in the Prometheus exposition format. */
 std::string render_metrics(const metrics& all);
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -20,7 +20,7 @@
 constexpr double highest_latency_s = 100.0;
 constexpr std::array<double, 4> rendered_quantiles{0.5, 0.9, 0.99, 0.999};
 
-latency_histogram make_latency_histogram()
+latency_metric make_latency_metric()
 {
     return histogram::make_histogram(
         histogram::axis::regular<double, histogram::axis::transform::log>(
@@ -50,12 +50,12 @@
     auto found = all.latencies.find(name);
     if (found == all.latencies.end())
     {
-        found = all.latencies.emplace(name, make_latency_histogram()).first;
+        found = all.latencies.emplace(name, make_latency_metric()).first;
     }
     found->second(seconds);
 }
 
-double quantile(const latency_histogram& latency, double fraction)
+double quantile(const latency_metric& latency, double fraction)
 {
     const double total = histogram::algorithm::sum(latency);
     const auto& axis = latency.axis();
