Move decisions: progress, evidence, sequential verdict test, registry

Cause: the daemon needs the share of a new version and verdicts as pure functions. Change: move.hpp with merge_progress, share_at, merge_evidence, slow threshold, decide_move, upstreams_in_use; verdict tests 'sequential' and 'threshold' in a registry; move_policy gains tolerated_slow_increase, wrong_withdrawal_probability, verdict_test and a watch of 30 s.

--- a/include/sardinepoint/config.hpp
+++ b/include/sardinepoint/config.hpp
@@ -50,8 +50,14 @@
     bool rise_without_log = true;
     /** Increase of the failure probability that is tolerated, 0 to 1. */
     double tolerated_increase = 0.01;
+    /** Increase of the probability of a slow call that is tolerated, 0 to 1. */
+    double tolerated_slow_increase = 0.05;
+    /** Bound on the probability that one aggregator withdraws a good version. */
+    double wrong_withdrawal_probability = 0.001;
+    /** Name of the registered verdict test. */
+    std::string verdict_test = "sequential";
     /** Time after the last step during which the old version is kept and faults still count. */
-    time_ms watch = 0;
+    time_ms watch = 30'000;
 };
 
 enum class move_state
--- /dev/null
+++ b/src/move.cpp
@@ -0,0 +1,105 @@
+#include "sardinepoint/move.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sardinepoint
+{
+namespace
+{
+
+int rank(const move_progress& progress)
+{
+    if (progress.withdrawn)
+    {
+        return 2;
+    }
+    return progress.done ? 1 : 0;
+}
+
+} // namespace
+
+std::vector<move_step> default_steps()
+{
+    // Up to the deadline the new version receives 4.8% of all calls in sum, so a fault that shows
+    // at any time has met at most 5% of them. The holds of the ramp last 1.2% of the time: 3.7 s
+    // for a move of 5 minutes, about as long as one report, one decision and its distribution.
+    return {
+        {.share = 1.5, .start_fraction = 0},     {.share = 8, .start_fraction = 0.94},
+        {.share = 25, .start_fraction = 0.9525}, {.share = 60, .start_fraction = 0.965},
+        {.share = 95, .start_fraction = 0.9775}, {.share = 100, .start_fraction = 0.989},
+    };
+}
+
+move_progress merge_progress(const move_progress& left, const move_progress& right)
+{
+    // The reason of the stronger outcome wins; of equal ones the greater text, so that the order of
+    // merging doesn't matter.
+    const auto left_key = std::pair(rank(left), std::string_view(left.reason));
+    const auto right_key = std::pair(rank(right), std::string_view(right.reason));
+    return {
+        .step = std::max(left.step, right.step),
+        .withdrawn = left.withdrawn || right.withdrawn,
+        .done = left.done || right.done,
+        .reason = left_key < right_key ? right.reason : left.reason,
+    };
+}
+
+time_ms step_start(const move_spec& spec, int step)
+{
+    const double length = static_cast<double>(spec.deadline - spec.start);
+    const double fraction = spec.steps.at(static_cast<std::size_t>(step)).start_fraction;
+    return spec.start + std::llround(fraction * length);
+}
+
+double share_at(const move_spec& spec, const move_progress& progress, time_ms now)
+{
+    if (progress.withdrawn)
+    {
+        return 0;
+    }
+    if (progress.done)
+    {
+        return 100;
+    }
+    double share = 0;
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step)
+    {
+        if (now < step_start(spec, step) || step > progress.step)
+        {
+            break;
+        }
+        share = spec.steps[static_cast<std::size_t>(step)].share;
+    }
+    return std::clamp(share, 0.0, 100.0);
+}
+
+bool is_watched(const move_spec& spec, const move_progress& progress, time_ms now)
+{
+    if (progress.withdrawn)
+    {
+        return false;
+    }
+    return !progress.done || now < spec.deadline + spec.policy.watch;
+}
+
+int upstreams_in_use(const concentration& input)
+{
+    if (input.upstreams <= 0)
+    {
+        return 0;
+    }
+    // Little's law: busy slots are the arrival rate times the time that a call holds a slot.
+    const double seconds = static_cast<double>(input.mean_service_time) / 1000;
+    const double busy_slots = input.arrival_rate * input.share / 100 * seconds;
+    const double filled_slots = input.slots_per_upstream * input.target_utilization;
+    if (filled_slots <= 0)
+    {
+        return input.upstreams;
+    }
+    const double needed = std::ceil(busy_slots / filled_slots);
+    return static_cast<int>(std::clamp(needed, 1.0, static_cast<double>(input.upstreams)));
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/move_decision.cpp
@@ -0,0 +1,253 @@
+#include "sardinepoint/move.hpp"
+
+#include "sardinepoint/registry.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace sardinepoint
+{
+namespace
+{
+
+/** Time that a decision needs to reach all proxies. */
+constexpr time_ms decision_spread = 1'000;
+/** Time for which a step's evidence is needed before the next step is permitted. */
+constexpr time_ms minimum_hold = 1'500;
+/** A move that is behind its schedule is decided this long before the deadline. */
+constexpr time_ms deadline_lead = 2'500;
+/** Share rises below this factor (daemon clocks, rounding) do not count as a new step. */
+constexpr double share_rise_factor = 1.2;
+
+verdict_test find_test(const move_policy& policy)
+{
+    const auto named = registry<verdict_test>::find(policy.verdict_test);
+    // Patch validation rejects unknown names; a peer of a newer release may still send one.
+    return named ? *named : *registry<verdict_test>::find("sequential");
+}
+
+/** The error budget is split evenly over the routes and the two signals. */
+double error_share(const move_policy& policy, std::size_t routes)
+{
+    return policy.wrong_withdrawal_probability / static_cast<double>(2 * std::max<std::size_t>(routes, 1));
+}
+
+test_parameters failure_parameters(const move_policy& policy, std::size_t routes)
+{
+    return {.tolerated_increase = policy.tolerated_increase,
+            .error_probability = error_share(policy, routes)};
+}
+
+test_parameters slow_parameters(const move_policy& policy, std::size_t routes)
+{
+    return {.tolerated_increase = policy.tolerated_slow_increase,
+            .error_probability = error_share(policy, routes)};
+}
+
+interval_counts failure_interval(const route_counters& before, const route_counters& after)
+{
+    return {.from_calls = after.from.calls - before.from.calls,
+            .from_hits = after.from.failures - before.from.failures,
+            .to_calls = after.to.calls - before.to.calls,
+            .to_hits = after.to.failures - before.to.failures};
+}
+
+interval_counts slow_interval(const route_counters& before, const route_counters& after)
+{
+    return {.from_calls = after.from.calls - before.from.calls,
+            .from_hits = after.from.slow - before.from.slow,
+            .to_calls = after.to.calls - before.to.calls,
+            .to_hits = after.to.slow - before.to.slow};
+}
+
+struct harm
+{
+    std::string reason;
+    bool certain = false;
+};
+
+std::string describe_harm(std::string_view route, std::string_view signal, std::uint64_t to_hits,
+                          std::uint64_t to_calls, std::uint64_t from_hits,
+                          std::uint64_t from_calls)
+{
+    return fmt::format("route {}: {} {} of {} calls on the new version, {} of {} on the old one",
+                       route, to_hits, signal, to_calls, from_hits, from_calls);
+}
+
+/** The first certain harm in route order, else the first suspicion. */
+std::optional<harm> find_harm(const move_spec& spec, const move_history& history,
+                              std::size_t routes)
+{
+    const verdict_test test = find_test(spec.policy);
+    const test_parameters for_failures = failure_parameters(spec.policy, routes);
+    const test_parameters for_slow = slow_parameters(spec.policy, routes);
+    std::optional<harm> suspicion;
+    for (const auto& [name, route] : history.routes)
+    {
+        const version_counters& from = route.seen.from;
+        const version_counters& to = route.seen.to;
+        const verdict failures = test.judge(route.failures, for_failures);
+        if (failures.harmful || (failures.suspicious && !suspicion))
+        {
+            suspicion = {.reason = describe_harm(name, "failures", to.failures, to.calls,
+                                                 from.failures, from.calls),
+                         .certain = failures.harmful};
+        }
+        const verdict slow = test.judge(route.slow, for_slow);
+        if (!(suspicion && suspicion->certain) &&
+            (slow.harmful || (slow.suspicious && !suspicion)))
+        {
+            suspicion = {.reason = describe_harm(name, "slow calls", to.slow, to.calls, from.slow,
+                                                 from.calls),
+                         .certain = slow.harmful};
+        }
+        if (suspicion && suspicion->certain)
+        {
+            return suspicion;
+        }
+    }
+    return suspicion;
+}
+
+std::uint64_t answered_calls(const move_history& history)
+{
+    std::uint64_t answered = 0;
+    for (const auto& [name, route] : history.routes)
+    {
+        answered += route.seen.to.calls - std::min(route.seen.to.failures, route.seen.to.calls);
+    }
+    return answered;
+}
+
+move_decision withdraw(const move_progress& progress, std::string reason)
+{
+    move_decision decision{.progress = progress};
+    decision.progress.withdrawn = true;
+    decision.progress.reason = std::move(reason);
+    return decision;
+}
+
+move_decision hold(const move_progress& progress, std::string reason)
+{
+    return {.progress = progress, .hold_reason = std::move(reason)};
+}
+
+move_decision complete(const move_spec& spec, const move_progress& progress, std::string reason)
+{
+    move_decision decision{.progress = progress};
+    decision.progress.step = static_cast<int>(spec.steps.size()) - 1;
+    decision.progress.done = true;
+    decision.progress.reason = std::move(reason);
+    return decision;
+}
+
+/** What happens to a move that is behind its schedule shortly before its deadline. */
+move_decision decide_at_deadline(const move_spec& spec, const move_progress& progress,
+                                 const move_history& history, const std::optional<harm>& suspicion)
+{
+    if (suspicion)
+    {
+        return withdraw(progress, "suspected harm not cleared up by the deadline: " +
+                                      suspicion->reason);
+    }
+    if (answered_calls(history) == 0)
+    {
+        return withdraw(progress, "the new version answered no call before the deadline");
+    }
+    if (!spec.policy.advance_on_little_evidence)
+    {
+        return withdraw(progress, "too little evidence before the deadline");
+    }
+    return complete(spec, progress, "deadline reached without a sign of harm");
+}
+
+} // namespace
+
+void observe_evidence(move_history& history, const move_spec& spec, const move_progress& progress,
+                      const evidence_totals& totals, const move_context& context)
+{
+    const verdict_test test = find_test(spec.policy);
+    const double length = static_cast<double>(std::max<time_ms>(spec.deadline - spec.start, 1));
+    const time_ms since = std::max(history.observed_until, spec.start);
+    const double elapsed = std::max(0.0, static_cast<double>(context.now - since) / length);
+    const double share = share_at(spec, progress, context.now);
+    const bool share_rose = share > history.last_share * share_rise_factor;
+    for (const auto& [name, counters] : totals)
+    {
+        route_history& route = history.routes[name];
+        interval_counts failures = failure_interval(route.seen, counters);
+        failures.elapsed_fraction = elapsed;
+        failures.share_rose = share_rose;
+        test.observe(route.failures, failures, failure_parameters(spec.policy, context.routes));
+        interval_counts slow = slow_interval(route.seen, counters);
+        slow.elapsed_fraction = elapsed;
+        slow.share_rose = share_rose;
+        test.observe(route.slow, slow, slow_parameters(spec.policy, context.routes));
+        route.seen = counters;
+    }
+    if (progress.step != history.step)
+    {
+        history.step = progress.step;
+        history.step_since = context.now;
+    }
+    history.last_share = share;
+    history.observed_until = context.now;
+}
+
+move_decision decide_move(const move_spec& spec, const move_progress& progress,
+                          const move_history& history, const move_context& context)
+{
+    if (!is_watched(spec, progress, context.now))
+    {
+        return {.progress = progress};
+    }
+    const std::optional<harm> found = find_harm(spec, history, context.routes);
+    if (found && found->certain)
+    {
+        return withdraw(progress, found->reason);
+    }
+    if (progress.done)
+    {
+        return {.progress = progress};
+    }
+    if (!context.log_available && !spec.policy.rise_without_log)
+    {
+        return hold(progress, "the log is unavailable");
+    }
+    if (context.now >= spec.deadline - deadline_lead)
+    {
+        return decide_at_deadline(spec, progress, history, found);
+    }
+    if (found)
+    {
+        return hold(progress, "suspected harm: " + found->reason);
+    }
+    const int next = progress.step + 1;
+    if (next >= static_cast<int>(spec.steps.size()) ||
+        context.now + decision_spread < step_start(spec, next))
+    {
+        return {.progress = progress};
+    }
+    const time_ms in_effect =
+        std::max(history.step_since, step_start(spec, progress.step));
+    if (context.evidence_until < in_effect + minimum_hold)
+    {
+        return hold(progress, "waiting for evidence of the present step");
+    }
+    const bool last = next + 1 == static_cast<int>(spec.steps.size());
+    if (!last)
+    {
+        move_decision raised{.progress = progress};
+        raised.progress.step = next;
+        return raised;
+    }
+    if (answered_calls(history) == 0)
+    {
+        return hold(progress, "the new version has answered no call");
+    }
+    return complete(spec, progress, "all steps passed");
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/move_evidence.cpp
@@ -0,0 +1,129 @@
+#include "sardinepoint/move.hpp"
+
+#include <boost/histogram/axis/traits.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace sardinepoint
+{
+namespace
+{
+
+// Bins are 11% wide; the first begins at 0.1 ms and the last ends at 100 s.
+constexpr int latency_bins = 128;
+constexpr double shortest_latency_ms = 0.1;
+constexpr double longest_latency_ms = 100'000;
+
+constexpr double slow_quantile = 0.95;
+constexpr time_ms latency_window = 30'000;
+/** With fewer samples the 95th percentile rests on less than 5 calls. */
+constexpr std::uint64_t minimum_latency_samples = 100;
+
+void merge_counters(version_counters& into, const version_counters& other)
+{
+    into.calls = std::max(into.calls, other.calls);
+    into.failures = std::max(into.failures, other.failures);
+    into.slow = std::max(into.slow, other.slow);
+}
+
+void add_counters(version_counters& into, const version_counters& other)
+{
+    into.calls += other.calls;
+    into.failures += other.failures;
+    into.slow += other.slow;
+}
+
+std::uint64_t sample_count(const latency_histogram& histogram)
+{
+    // The iteration includes the underflow and overflow bins.
+    return std::accumulate(histogram.begin(), histogram.end(), std::uint64_t{0});
+}
+
+} // namespace
+
+void merge_evidence(move_evidence& into, const move_evidence& other)
+{
+    for (const auto& [proxy, routes] : other.proxies)
+    {
+        evidence_totals& known = into.proxies[proxy];
+        for (const auto& [name, counters] : routes)
+        {
+            route_counters& target = known[name];
+            merge_counters(target.from, counters.from);
+            merge_counters(target.to, counters.to);
+        }
+    }
+}
+
+evidence_totals sum_evidence(const move_evidence& evidence)
+{
+    evidence_totals totals;
+    for (const auto& [proxy, routes] : evidence.proxies)
+    {
+        for (const auto& [name, counters] : routes)
+        {
+            route_counters& target = totals[name];
+            add_counters(target.from, counters.from);
+            add_counters(target.to, counters.to);
+        }
+    }
+    return totals;
+}
+
+latency_histogram make_latency_histogram()
+{
+    using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    return latency_histogram(log_axis(latency_bins, shortest_latency_ms, longest_latency_ms));
+}
+
+std::optional<double> latency_quantile(const latency_histogram& histogram, double quantile)
+{
+    const std::uint64_t samples = sample_count(histogram);
+    if (samples == 0)
+    {
+        return std::nullopt;
+    }
+    const double wanted = quantile * static_cast<double>(samples);
+    std::uint64_t below = 0;
+    const auto& axis = histogram.axis();
+    for (int bin = -1; bin < axis.size(); ++bin)
+    {
+        below += histogram.at(bin);
+        if (static_cast<double>(below) >= wanted)
+        {
+            return axis.value(bin + 1);
+        }
+    }
+    return longest_latency_ms;
+}
+
+void update_slow_threshold(slow_threshold& state, time_ms now)
+{
+    if (now >= state.window_start + latency_window)
+    {
+        std::swap(state.previous, state.current);
+        state.current.reset();
+        state.window_start = now;
+    }
+    latency_histogram recent = state.previous;
+    recent += state.current;
+    if (sample_count(recent) < minimum_latency_samples)
+    {
+        // The last threshold stays: it is the same for both versions and needs no fresh samples.
+        return;
+    }
+    state.threshold_ms = latency_quantile(recent, slow_quantile);
+}
+
+void observe_old_latency(slow_threshold& state, double latency_ms)
+{
+    state.current(latency_ms);
+}
+
+bool is_slow(const slow_threshold& state, double latency_ms)
+{
+    return state.threshold_ms && latency_ms > *state.threshold_ms;
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/verdict_threshold.cpp
@@ -0,0 +1,52 @@
+#include "sardinepoint/move.hpp"
+#include "sardinepoint/registry.hpp"
+
+namespace sardinepoint
+{
+namespace
+{
+
+/** Calls of the new version in one period of the rate that is compared with the bound. */
+constexpr double period_calls = 100;
+/** Hit rate of the new version that counts as harm, whatever the old version does. */
+constexpr double base_bound = 0.05;
+
+/** Layout of test_state::values. */
+enum index : std::size_t
+{
+    calls,
+    hits,
+    exceeded,
+    index_count,
+};
+
+/** The baseline: a fixed bound on the new version's rate, without a look at the old one. */
+void observe_threshold(test_state& state, const interval_counts& interval,
+                       const test_parameters& parameters)
+{
+    state.values.resize(index_count, 0);
+    state.values[calls] += static_cast<double>(interval.to_calls);
+    state.values[hits] += static_cast<double>(interval.to_hits);
+    if (state.values[calls] < period_calls)
+    {
+        return;
+    }
+    const double bound = base_bound + parameters.tolerated_increase;
+    if (state.values[hits] > bound * state.values[calls])
+    {
+        state.values[exceeded] = 1;
+    }
+    state.values[calls] = 0;
+    state.values[hits] = 0;
+}
+
+verdict judge_threshold(const test_state& state, const test_parameters&)
+{
+    return {.harmful = !state.values.empty() && state.values[exceeded] > 0};
+}
+
+const registration<verdict_test> threshold("threshold",
+                                           {.observe = observe_threshold, .judge = judge_threshold});
+
+} // namespace
+} // namespace sardinepoint
