--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -84,8 +84,7 @@
 
 /** Latencies in milliseconds in fixed logarithmic bins; histograms of one type can be added. */
 using latency_histogram = boost::histogram::histogram<
-    std::tuple<
-        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>>,
+    std::tuple<boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>>,
     boost::histogram::dense_storage<std::uint64_t>>;
 
 latency_histogram make_latency_histogram();
--- a/include/sardinepoint/registry.hpp
+++ b/include/sardinepoint/registry.hpp
@@ -10,11 +10,12 @@
 namespace sardinepoint
 {
 
-/** Plug-ins of one type by name. Fill it from static `registration` objects before threads start. */
+/** Plug-ins of one type by name. Fill it from static `registration` objects before threads start.
+ */
 template <typename T>
 class registry
 {
-  public:
+public:
     /** Registers a plug-in; the first one under a name stays. */
     static bool add(std::string name, T value)
     {
@@ -32,7 +33,7 @@
         return found->second;
     }
 
-  private:
+private:
     // A function-local static exists before any registration object of another file runs.
     static std::map<std::string, T, std::less<>>& entries()
     {
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -31,7 +31,8 @@
 /** The error budget is split evenly over the routes and the two signals. */
 double error_share(const move_policy& policy, std::size_t routes)
 {
-    return policy.wrong_withdrawal_probability / static_cast<double>(2 * std::max<std::size_t>(routes, 1));
+    return policy.wrong_withdrawal_probability /
+           static_cast<double>(2 * std::max<std::size_t>(routes, 1));
 }
 
 test_parameters failure_parameters(const move_policy& policy, std::size_t routes)
@@ -69,8 +70,7 @@
 };
 
 std::string describe_harm(std::string_view route, std::string_view signal, std::uint64_t to_hits,
-                          std::uint64_t to_calls, std::uint64_t from_hits,
-                          std::uint64_t from_calls)
+                          std::uint64_t to_calls, std::uint64_t from_hits, std::uint64_t from_calls)
 {
     return fmt::format("route {}: {} {} of {} calls on the new version, {} of {} on the old one",
                        route, to_hits, signal, to_calls, from_hits, from_calls);
@@ -96,8 +96,7 @@
                          .certain = failures.harmful};
         }
         const verdict slow = test.judge(route.slow, for_slow);
-        if (!(suspicion && suspicion->certain) &&
-            (slow.harmful || (slow.suspicious && !suspicion)))
+        if (!(suspicion && suspicion->certain) && (slow.harmful || (slow.suspicious && !suspicion)))
         {
             suspicion = {.reason = describe_harm(name, "slow calls", to.slow, to.calls, from.slow,
                                                  from.calls),
@@ -149,8 +148,8 @@
 {
     if (suspicion)
     {
-        return withdraw(progress, "suspected harm not cleared up by the deadline: " +
-                                      suspicion->reason);
+        return withdraw(progress,
+                        "suspected harm not cleared up by the deadline: " + suspicion->reason);
     }
     if (answered_calls(history) == 0)
     {
@@ -230,8 +229,7 @@
     {
         return {.progress = progress};
     }
-    const time_ms in_effect =
-        std::max(history.step_since, step_start(spec, progress.step));
+    const time_ms in_effect = std::max(history.step_since, step_start(spec, progress.step));
     if (context.evidence_until < in_effect + minimum_hold)
     {
         return hold(progress, "waiting for evidence of the present step");
--- a/src/move_evidence.cpp
+++ b/src/move_evidence.cpp
@@ -73,7 +73,8 @@
 
 latency_histogram make_latency_histogram()
 {
-    using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using log_axis =
+        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     return latency_histogram(log_axis(latency_bins, shortest_latency_ms, longest_latency_ms));
 }
 
--- a/src/verdict_threshold.cpp
+++ b/src/verdict_threshold.cpp
@@ -45,8 +45,8 @@
     return {.harmful = !state.values.empty() && state.values[exceeded] > 0};
 }
 
-const registration<verdict_test> threshold("threshold",
-                                           {.observe = observe_threshold, .judge = judge_threshold});
+const registration<verdict_test> threshold("threshold", {.observe = observe_threshold,
+                                                         .judge = judge_threshold});
 
 } // namespace
 } // namespace sardinepoint
