Keep half of the calls on the old version until the end of a move

Cause: at a share of 95% the old version's few calls gave the comparison no power, and intervals without old calls by chance blamed the new version for a burst that hit both. Change: schedule 2/8/25/50/100 with the end decided 2.5 s before the deadline; calls wait for the next interval with old calls; a second comparison with the old version's history (guarded by its worst period) for times in which it receives few calls; ramp intervals weigh more as beginnings of a fault. Conclusion: next are bursts after the old version's last call and one-second load faults.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -124,6 +124,8 @@
     double elapsed_fraction = 0;
     /** Whether the share rose in this interval, where load faults are likely to begin. */
     bool share_rose = false;
+    /** Whether the new version receives all calls, so that there are none to compare with. */
+    bool lone = false;
 };
 
 /** What a verdict test has to keep between intervals; its layout belongs to the test. */
@@ -217,7 +219,7 @@
     /** Percent of the calls that the new version receives. */
     double share = 0;
     /** Busy fraction of the slots up to which an upstream is filled before the next is used. */
-    double target_utilization = 0.8;
+    double target_utilization = 0.9;
 };
 
 /** How many of the new version's upstreams are used, so that each works near full load. */
--- a/src/move.cpp
+++ b/src/move.cpp
@@ -22,13 +22,13 @@
 
 std::vector<move_step> default_steps()
 {
-    // Up to the deadline the new version receives 4.8% of all calls in sum, so a fault that shows
-    // at any time has met at most 5% of them. The holds of the ramp last 1.2% of the time: 3.7 s
-    // for a move of 5 minutes, about as long as one report, one decision and its distribution.
+    // In sum the new version receives 4% of all calls up to the deadline, so that a fault that
+    // shows at any time before it has met less than 5%. The old version keeps half of the calls
+    // until the end: at a share of 95% too few of its calls are left to compare with.
     return {
-        {.share = 1.5, .start_fraction = 0},     {.share = 8, .start_fraction = 0.94},
-        {.share = 25, .start_fraction = 0.9525}, {.share = 60, .start_fraction = 0.965},
-        {.share = 95, .start_fraction = 0.9775}, {.share = 100, .start_fraction = 0.989},
+        {.share = 2, .start_fraction = 0},      {.share = 8, .start_fraction = 0.94},
+        {.share = 25, .start_fraction = 0.955}, {.share = 50, .start_fraction = 0.97},
+        {.share = 100, .start_fraction = 1},
     };
 }
 
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -16,8 +16,11 @@
 constexpr time_ms decision_spread = 1'000;
 /** Time for which a step's evidence is needed before the next step is permitted. */
 constexpr time_ms minimum_hold = 1'500;
-/** A move that is behind its schedule is decided this long before the deadline. */
+/** The end is decided this long before the deadline: one decision interval, the spread of the
+ * decision and half a second of reserve. */
 constexpr time_ms deadline_lead = 2'500;
+/** Calls that a move needs when its policy doesn't advance on little evidence. */
+constexpr std::uint64_t enough_calls = 50;
 /** Share rises below this factor (daemon clocks, rounding) do not count as a new step. */
 constexpr double share_rise_factor = 1.2;
 
@@ -142,24 +145,35 @@
     return decision;
 }
 
-/** What happens to a move that is behind its schedule shortly before its deadline. */
+/** Completes the move if the new version has answered enough calls, else calls it off. */
 move_decision decide_at_deadline(const move_spec& spec, const move_progress& progress,
-                                 const move_history& history, const std::optional<harm>& suspicion)
+                                 const move_history& history, const std::optional<harm>& suspicion,
+                                 bool steps_passed)
 {
     if (suspicion)
     {
         return withdraw(progress,
                         "suspected harm not cleared up by the deadline: " + suspicion->reason);
     }
-    if (answered_calls(history) == 0)
+    const std::uint64_t answered = answered_calls(history);
+    if (answered == 0)
     {
         return withdraw(progress, "the new version answered no call before the deadline");
     }
-    if (!spec.policy.advance_on_little_evidence)
+    if (!spec.policy.advance_on_little_evidence && (!steps_passed || answered < enough_calls))
     {
         return withdraw(progress, "too little evidence before the deadline");
     }
-    return complete(spec, progress, "deadline reached without a sign of harm");
+    return complete(spec, progress,
+                    steps_passed ? "all steps passed" : "deadline reached without a sign of harm");
+}
+
+/** Whether the evidence covers the present step for long enough. */
+bool is_step_observed(const move_spec& spec, const move_progress& progress,
+                      const move_history& history, time_ms evidence_until)
+{
+    const time_ms in_effect = std::max(history.step_since, step_start(spec, progress.step));
+    return evidence_until >= in_effect + minimum_hold;
 }
 
 } // namespace
@@ -172,6 +186,7 @@
     const time_ms since = std::max(history.observed_until, spec.start);
     const double elapsed = std::max(0.0, static_cast<double>(context.now - since) / length);
     const double share = share_at(spec, progress, context.now);
+    const bool lone = share >= 100;
     const bool share_rose = share > history.last_share * share_rise_factor;
     for (const auto& [name, counters] : totals)
     {
@@ -179,10 +194,12 @@
         interval_counts failures = failure_interval(route.seen, counters);
         failures.elapsed_fraction = elapsed;
         failures.share_rose = share_rose;
+        failures.lone = lone;
         test.observe(route.failures, failures, failure_parameters(spec.policy, context.routes));
         interval_counts slow = slow_interval(route.seen, counters);
         slow.elapsed_fraction = elapsed;
         slow.share_rose = share_rose;
+        slow.lone = lone;
         test.observe(route.slow, slow, slow_parameters(spec.policy, context.routes));
         route.seen = counters;
     }
@@ -215,27 +232,27 @@
     {
         return hold(progress, "the log is unavailable");
     }
+    const int last = static_cast<int>(spec.steps.size()) - 1;
+    const bool observed = is_step_observed(spec, progress, history, context.evidence_until);
     if (context.now >= spec.deadline - deadline_lead)
     {
-        return decide_at_deadline(spec, progress, history, found);
+        const bool steps_passed = progress.step >= last - 1 && observed;
+        return decide_at_deadline(spec, progress, history, found, steps_passed);
     }
     if (found)
     {
         return hold(progress, "suspected harm: " + found->reason);
     }
     const int next = progress.step + 1;
-    if (next >= static_cast<int>(spec.steps.size()) ||
-        context.now + decision_spread < step_start(spec, next))
+    if (next > last || context.now + decision_spread < step_start(spec, next))
     {
         return {.progress = progress};
     }
-    const time_ms in_effect = std::max(history.step_since, step_start(spec, progress.step));
-    if (context.evidence_until < in_effect + minimum_hold)
+    if (!observed)
     {
         return hold(progress, "waiting for evidence of the present step");
     }
-    const bool last = next + 1 == static_cast<int>(spec.steps.size());
-    if (!last)
+    if (next < last)
     {
         move_decision raised{.progress = progress};
         raised.progress.step = next;
--- a/src/verdict_sequential.cpp
+++ b/src/verdict_sequential.cpp
@@ -24,23 +24,30 @@
 /** Excess of the new rate over the tolerated one, as a fraction of what is left up to 1. */
 constexpr std::array<double, 4> effect_sizes{0.04, 0.12, 0.35, 0.9};
 
-// Weights of the possible beginnings of a fault; they sum to at most 1.
-constexpr double weight_first_interval = 0.3;
-constexpr double weight_share_rose = 0.04;
-constexpr double most_share_rises = 5;
-constexpr double weight_elapsed = 0.5;
-
-/** Part of the error budget for intervals in which the old version receives no calls. */
-constexpr double lone_budget = 0.1;
-/** Part of the weight left that each such interval takes as a possible beginning. */
-constexpr double lone_weight = 0.03;
-/** Excess over the old version's worst period that is not harm when there is no comparison. */
-constexpr double lone_margin = 0.02;
-/** Calls of the old version in one period of its worst rate; a tenth of them is a coarse rate. */
+// Weights of the possible beginnings of a fault; they sum to 1. The ramp and the time after it are
+// short and a load fault begins there, so an interval there weighs more than one before.
+constexpr double weight_first_interval = 0.25;
+constexpr double weight_elapsed = 0.25;
+constexpr double weight_ramp = 0.3;
+constexpr double weight_lone = 0.2;
+/** Part of what is left of the weight for the ramp that each interval takes. */
+constexpr double ramp_part = 0.025;
+constexpr double lone_part = 0.05;
+
+/** Part of the error budget for the comparison with the old version's history. */
+constexpr double history_budget = 0.3;
+/** Excess over the old version's history that is not harm, on top of the tolerated increase. */
+constexpr double history_margin = 0.005;
+/** A burst without a comparison may be this much worse than the worst one seen. */
+constexpr double burst_factor = 2.5;
+/** Calls of the old version in one period of its worst rate; shorter ones have no usable rate. */
 constexpr double baseline_period_calls = 100;
 
-/** Old estimates count for less after each interval, so that the bet follows a noisy version. */
-constexpr double rate_decay = 0.9;
+// The old rate is the recent one, smoothed by this many calls at the long-term rate, so that the
+// bet follows a version that fails in bursts.
+constexpr double rate_decay = 0.95;
+constexpr double recent_decay = 0.5;
+constexpr double smoothing_calls = 100;
 constexpr double prior_calls = 20;
 constexpr double prior_hits = 0.2;
 constexpr double lowest_rate = 0.0005;
@@ -57,17 +64,23 @@
 /** Layout of test_state::values. */
 enum index : std::size_t
 {
+    recent_hits,
+    recent_calls,
     rate_hits,
     rate_calls,
-    weight_used,
-    share_rises,
     period_hits,
     period_calls,
     worst_rate,
-    lone_weight_used,
+    weight_used,
+    ramp_begun,
+    ramp_used,
+    lone_used,
+    pending_weight,
+    pending_to_calls,
+    pending_to_hits,
     paired,
-    lone = paired + effect_sizes.size(),
-    index_count = lone + effect_sizes.size(),
+    history = paired + effect_sizes.size(),
+    index_count = history + effect_sizes.size(),
 };
 
 struct rates
@@ -92,10 +105,6 @@
         return from_calls * (rate - alternative.from) / (rate * (1 - rate)) +
                to_calls * (shifted - alternative.to) / (shifted * (1 - shifted));
     };
-    if (from_calls == 0)
-    {
-        return {.from = high, .to = alternative.to};
-    }
     std::uintmax_t iterations = root_iterations;
     const auto bracket = boost::math::tools::toms748_solve(
         slope, low, high, slope(low), slope(high),
@@ -111,7 +120,9 @@
 
 double estimated_rate(const std::vector<double>& values, double tolerated)
 {
-    const double rate = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
+    const double steady = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
+    const double rate =
+        (values[recent_hits] + smoothing_calls * steady) / (values[recent_calls] + smoothing_calls);
     return std::clamp(rate, lowest_rate, std::min(highest_rate, 0.95 - tolerated));
 }
 
@@ -120,6 +131,14 @@
     return std::exp(std::min(logarithm, 200.0));
 }
 
+/** Takes a part of what is left of one kind of weight. */
+double take_part(double& used, double whole, double part)
+{
+    const double taken = part * (whole - used);
+    used += taken;
+    return taken;
+}
+
 /** Weight of a fault that begins with this interval. */
 double start_weight(std::vector<double>& values, const interval_counts& interval)
 {
@@ -128,24 +147,36 @@
     {
         weight += weight_first_interval;
     }
-    else if (interval.share_rose && values[share_rises] < most_share_rises)
+    else if (interval.share_rose)
+    {
+        values[ramp_begun] = 1;
+    }
+    if (interval.lone)
+    {
+        weight += take_part(values[lone_used], weight_lone, lone_part);
+    }
+    else if (values[ramp_begun] > 0)
     {
-        values[share_rises] += 1;
-        weight += weight_share_rose;
+        weight += take_part(values[ramp_used], weight_ramp, ramp_part);
     }
     weight = std::min(weight, 1 - values[weight_used]);
     values[weight_used] += weight;
     return weight;
 }
 
+/** Adds the possible beginning to a sum of products and multiplies it by the interval's ratio. */
+void multiply(double& value, double weight, double gain)
+{
+    value = std::min(largest_value, (value + weight / effect_sizes.size()) * bounded_exp(gain));
+}
+
 void observe_paired(std::vector<double>& values, const interval_counts& interval, double tolerated)
 {
-    const double weight = start_weight(values, interval) / effect_sizes.size();
     const double from = estimated_rate(values, tolerated);
     const auto from_calls = static_cast<double>(interval.from_calls);
     const auto from_hits = static_cast<double>(interval.from_hits);
-    const auto to_calls = static_cast<double>(interval.to_calls);
-    const auto to_hits = static_cast<double>(interval.to_hits);
+    const double to_calls = values[pending_to_calls];
+    const double to_hits = values[pending_to_hits];
     for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
     {
         const rates bet{.from = from,
@@ -155,42 +186,53 @@
                             log_likelihood(from_calls, from_hits, null.from) +
                             log_likelihood(to_calls, to_hits, bet.to) -
                             log_likelihood(to_calls, to_hits, null.to);
-        double& value = values[paired + effect];
-        value = std::min(largest_value, (value + weight) * bounded_exp(gain));
+        multiply(values[paired + effect], values[pending_weight], gain);
     }
+    values[pending_weight] = 0;
+    values[pending_to_calls] = 0;
+    values[pending_to_hits] = 0;
 }
 
-/** Compares the new version with the old one's worst period: there are no old calls to pair. */
-void observe_lone(std::vector<double>& values, const interval_counts& interval, double tolerated)
+/** The highest rate that the old version's history explains. */
+double explained_rate(const std::vector<double>& values, double tolerated)
 {
-    const double total = lone_weight * (1 - values[lone_weight_used]);
-    const double weight = total / effect_sizes.size();
-    values[lone_weight_used] += total;
-    const double worst = std::max(values[worst_rate], estimated_rate(values, tolerated));
-    const double null = std::min(highest_rate, worst + tolerated + lone_margin);
+    const double usual = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
+    const double spread = std::sqrt(usual * (1 - usual) / (values[rate_calls] + prior_calls));
+    const double bursts = std::max(0.0, values[worst_rate] - usual);
+    return std::min(highest_rate,
+                    usual + spread + burst_factor * bursts + tolerated + history_margin);
+}
+
+/** Compares the new version with the old one's history. Unlike the paired comparison it has power
+ * while the old version receives few calls, and it relies on a past that includes the noise. */
+void observe_history(std::vector<double>& values, const interval_counts& interval, double weight,
+                     double tolerated)
+{
+    const double null = explained_rate(values, tolerated);
     const auto calls = static_cast<double>(interval.to_calls);
     const auto hits = static_cast<double>(interval.to_hits);
     for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
     {
         const double bet = alternative_rate(null, 0, effect_sizes[effect]);
         const double gain = log_likelihood(calls, hits, bet) - log_likelihood(calls, hits, null);
-        double& value = values[lone + effect];
-        value = std::min(largest_value, (value + weight) * bounded_exp(gain));
+        multiply(values[history + effect], weight, gain);
     }
 }
 
-void learn_old_rate(std::vector<double>& values, const interval_counts& interval)
+void learn_old_rate(std::vector<double>& values, double calls, double hits)
 {
-    const auto calls = static_cast<double>(interval.from_calls);
-    const auto hits = static_cast<double>(interval.from_hits);
+    values[recent_hits] = values[recent_hits] * recent_decay + hits;
+    values[recent_calls] = values[recent_calls] * recent_decay + calls;
     values[rate_hits] = values[rate_hits] * rate_decay + hits;
     values[rate_calls] = values[rate_calls] * rate_decay + calls;
     values[period_hits] += hits;
     values[period_calls] += calls;
     if (values[period_calls] >= baseline_period_calls)
     {
-        values[worst_rate] =
-            std::max(values[worst_rate], values[period_hits] / values[period_calls]);
+        const double rate = values[period_hits] / values[period_calls];
+        // The lower bound: of many short periods the highest plain rate is mere chance.
+        const double spread = std::sqrt(rate * (1 - rate) / values[period_calls]);
+        values[worst_rate] = std::max(values[worst_rate], rate - 2 * spread);
         values[period_hits] = 0;
         values[period_calls] = 0;
     }
@@ -201,18 +243,29 @@
 {
     std::vector<double>& values = state.values;
     values.resize(index_count, 0);
-    if (interval.to_calls > 0 && interval.from_calls > 0)
+    double weight = 0;
+    if (interval.to_calls > 0)
     {
-        observe_paired(values, interval, parameters.tolerated_increase);
+        weight = start_weight(values, interval);
+        // Calls wait for the next interval in which there is something to compare them with.
+        values[pending_weight] += weight;
+        values[pending_to_calls] += static_cast<double>(interval.to_calls);
+        values[pending_to_hits] += static_cast<double>(interval.to_hits);
     }
-    else if (interval.to_calls > 0)
+    if (values[pending_to_calls] > 0 && interval.from_calls > 0)
     {
-        observe_lone(values, interval, parameters.tolerated_increase);
+        observe_paired(values, interval, parameters.tolerated_increase);
     }
-    // The estimate is updated after the bet: a bet that knows its own interval isn't valid.
+    // The paired bet must not know its own interval, but a burst that begins in this interval has
+    // to be known before the history can be asked whether it explains the new version's rate.
     if (interval.from_calls > 0)
     {
-        learn_old_rate(values, interval);
+        learn_old_rate(values, static_cast<double>(interval.from_calls),
+                       static_cast<double>(interval.from_hits));
+    }
+    if (interval.to_calls > 0)
+    {
+        observe_history(values, interval, weight, parameters.tolerated_increase);
     }
 }
 
@@ -233,9 +286,11 @@
         return {};
     }
     // The weight of beginnings that have not come yet stays at its value.
-    const double paired_value = sum_of_bets(state.values, paired) + 1 - state.values[weight_used];
-    const double lone_value = sum_of_bets(state.values, lone) + 1 - state.values[lone_weight_used];
-    const double value = (1 - lone_budget) * paired_value + lone_budget * lone_value;
+    const double unused = 1 - state.values[weight_used];
+    const double paired_value =
+        sum_of_bets(state.values, paired) + unused + state.values[pending_weight];
+    const double history_value = sum_of_bets(state.values, history) + unused;
+    const double value = (1 - history_budget) * paired_value + history_budget * history_value;
     const double threshold = 1 / parameters.error_probability;
     return {.harmful = value >= threshold, .suspicious = value >= suspicion_fraction * threshold};
 }
