Fill the preferred upstreams; guard the history comparison by the whole service's bursts

Cause: an even spread over two half-full upstreams showed a load fault only for single seconds; a route with few calls underestimated the bursts of a noisy old version. Change: upstreams_in_use rounds down and the rest overflows; the worst period is taken over all routes.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -126,6 +126,8 @@
     bool share_rose = false;
     /** Whether the new version receives all calls, so that there are none to compare with. */
     bool lone = false;
+    /** How far the old version's worst rate over all routes lay above its usual one. */
+    double old_burst = 0;
 };
 
 /** What a verdict test has to keep between intervals; its layout belongs to the test. */
@@ -158,6 +160,16 @@
 
 // --- Decisions ------------------------------------------------------------------------------
 
+/** The worst short-term hit rate of the old version over all routes of a service. */
+struct burst_tracker
+{
+    double period_hits = 0;
+    double period_calls = 0;
+    double usual_hits = 0;
+    double usual_calls = 0;
+    double worst_rate = 0;
+};
+
 /** Test states of one route. */
 struct route_history
 {
@@ -170,6 +182,8 @@
 struct move_history
 {
     std::map<std::string, route_history> routes;
+    burst_tracker failure_bursts;
+    burst_tracker slow_bursts;
     time_ms observed_until = 0;
     double last_share = 0;
     /** Step that is being observed and since when. */
@@ -218,11 +232,12 @@
     time_ms mean_service_time = 0;
     /** Percent of the calls that the new version receives. */
     double share = 0;
-    /** Busy fraction of the slots up to which an upstream is filled before the next is used. */
+    /** Busy fraction of the slots from which on an upstream counts as full. */
     double target_utilization = 0.9;
 };
 
-/** How many of the new version's upstreams are used, so that each works near full load. */
+/** How many of the new version's upstreams are preferred, so that each of them works at full load.
+ * A call that finds them full goes to one of the others. */
 int upstreams_in_use(const concentration& input);
 
 } // namespace sardinepoint
--- a/src/move.cpp
+++ b/src/move.cpp
@@ -94,11 +94,13 @@
     const double seconds = static_cast<double>(input.mean_service_time) / 1000;
     const double busy_slots = input.arrival_rate * input.share / 100 * seconds;
     const double filled_slots = input.slots_per_upstream * input.target_utilization;
-    if (filled_slots <= 0)
+    if (filled_slots <= 0 || input.share >= 100)
     {
         return input.upstreams;
     }
-    const double needed = std::ceil(busy_slots / filled_slots);
+    // Rounded down: rounding up leaves two upstreams half full where one would be full, and a load
+    // fault shows only for seconds. What doesn't fit goes to the other upstreams.
+    const double needed = std::floor(busy_slots / filled_slots);
     return static_cast<int>(std::clamp(needed, 1.0, static_cast<double>(input.upstreams)));
 }
 
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace sardinepoint
@@ -66,6 +67,50 @@
             .to_hits = after.to.slow - before.to.slow};
 }
 
+/** Short enough to catch bursts of a second on a busy service. */
+constexpr double burst_period_calls = 100;
+constexpr double usual_rate_decay = 0.99;
+
+void observe_bursts(burst_tracker& bursts, double calls, double hits)
+{
+    bursts.usual_hits = bursts.usual_hits * usual_rate_decay + hits;
+    bursts.usual_calls = bursts.usual_calls * usual_rate_decay + calls;
+    bursts.period_hits += hits;
+    bursts.period_calls += calls;
+    if (bursts.period_calls < burst_period_calls)
+    {
+        return;
+    }
+    const double rate = bursts.period_hits / bursts.period_calls;
+    // The lower bound: of many short periods the highest plain rate is mere chance.
+    const double spread = std::sqrt(rate * (1 - rate) / bursts.period_calls);
+    bursts.worst_rate = std::max(bursts.worst_rate, rate - 2 * spread);
+    bursts.period_hits = 0;
+    bursts.period_calls = 0;
+}
+
+double burst_height(const burst_tracker& bursts)
+{
+    const double usual = bursts.usual_hits / std::max(bursts.usual_calls, 1.0);
+    return std::max(0.0, bursts.worst_rate - usual);
+}
+
+/** Feeds what the old version did on all routes together since the last totals. */
+void observe_service_bursts(move_history& history, const evidence_totals& totals)
+{
+    version_counters sum;
+    for (const auto& [name, counters] : totals)
+    {
+        const version_counters& seen = history.routes[name].seen.from;
+        sum.calls += counters.from.calls - seen.calls;
+        sum.failures += counters.from.failures - seen.failures;
+        sum.slow += counters.from.slow - seen.slow;
+    }
+    const auto calls = static_cast<double>(sum.calls);
+    observe_bursts(history.failure_bursts, calls, static_cast<double>(sum.failures));
+    observe_bursts(history.slow_bursts, calls, static_cast<double>(sum.slow));
+}
+
 struct harm
 {
     std::string reason;
@@ -188,6 +233,7 @@
     const double share = share_at(spec, progress, context.now);
     const bool lone = share >= 100;
     const bool share_rose = share > history.last_share * share_rise_factor;
+    observe_service_bursts(history, totals);
     for (const auto& [name, counters] : totals)
     {
         route_history& route = history.routes[name];
@@ -195,11 +241,13 @@
         failures.elapsed_fraction = elapsed;
         failures.share_rose = share_rose;
         failures.lone = lone;
+        failures.old_burst = burst_height(history.failure_bursts);
         test.observe(route.failures, failures, failure_parameters(spec.policy, context.routes));
         interval_counts slow = slow_interval(route.seen, counters);
         slow.elapsed_fraction = elapsed;
         slow.share_rose = share_rose;
         slow.lone = lone;
+        slow.old_burst = burst_height(history.slow_bursts);
         test.observe(route.slow, slow, slow_parameters(spec.policy, context.routes));
         route.seen = counters;
     }
--- a/src/verdict_sequential.cpp
+++ b/src/verdict_sequential.cpp
@@ -194,11 +194,11 @@
 }
 
 /** The highest rate that the old version's history explains. */
-double explained_rate(const std::vector<double>& values, double tolerated)
+double explained_rate(const std::vector<double>& values, double old_burst, double tolerated)
 {
     const double usual = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
     const double spread = std::sqrt(usual * (1 - usual) / (values[rate_calls] + prior_calls));
-    const double bursts = std::max(0.0, values[worst_rate] - usual);
+    const double bursts = std::max(old_burst, values[worst_rate] - usual);
     return std::min(highest_rate,
                     usual + spread + burst_factor * bursts + tolerated + history_margin);
 }
@@ -208,7 +208,7 @@
 void observe_history(std::vector<double>& values, const interval_counts& interval, double weight,
                      double tolerated)
 {
-    const double null = explained_rate(values, tolerated);
+    const double null = explained_rate(values, interval.old_burst, tolerated);
     const auto calls = static_cast<double>(interval.to_calls);
     const auto hits = static_cast<double>(interval.to_hits);
     for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
--- a/support/move_bench.hpp
+++ b/support/move_bench.hpp
@@ -506,14 +506,40 @@
     return {.share = sum / moments, .late_part = sum > 0 ? late / sum : 0};
 }
 
-inline double fault_probability(const simulation& run, std::size_t route, double utilization,
-                                time_ms now)
+/** Load of the new version's preferred upstreams. */
+struct preferred_load
+{
+    /** Busy fraction of their slots; at most 1, because a full upstream refuses calls. */
+    double utilization = 0;
+    /** Part of the new version's calls that they take; the others are hardly loaded. */
+    double part = 1;
+};
+
+inline preferred_load new_load(const simulation& run, double share, double load)
+{
+    const setup& truth = run.truth;
+    const int preferred =
+        run.plan.concentrated
+            ? upstreams_in_use({.upstreams = truth.size.upstreams,
+                                .slots_per_upstream = truth.size.slots,
+                                .arrival_rate = truth.arrival_rate * truth.load_report_factor,
+                                .mean_service_time = std::llround(truth.service_seconds * 1'000),
+                                .share = share})
+            : truth.size.upstreams;
+    const double busy = truth.arrival_rate * load * share / 100 * truth.service_seconds;
+    const double fraction = busy / (preferred * truth.size.slots);
+    return {.utilization = std::min(fraction, 1.0), .part = 1 / std::max(fraction, 1.0)};
+}
+
+inline double fault_probability(const simulation& run, std::size_t route,
+                                const preferred_load& load, time_ms now)
 {
     const setup& truth = run.truth;
     const bool active = truth.bad && now >= truth.fault_start &&
-                        utilization >= truth.fault_utilization &&
+                        load.utilization >= truth.fault_utilization &&
                         (truth.fault_route < 0 || truth.fault_route == static_cast<int>(route));
-    return active ? truth.magnitude : 0;
+    const double part = truth.fault_utilization > 0 ? load.part : 1;
+    return active ? truth.magnitude * part : 0;
 }
 
 /** Counts calls of one version on one route; returns in how many of them the fault showed. */
@@ -537,22 +563,6 @@
     return affected;
 }
 
-/** Busy fraction of the new version's upstreams that are in use. */
-inline double new_utilization(const simulation& run, double share)
-{
-    const setup& truth = run.truth;
-    const int used =
-        run.plan.concentrated
-            ? upstreams_in_use({.upstreams = truth.size.upstreams,
-                                .slots_per_upstream = truth.size.slots,
-                                .arrival_rate = truth.arrival_rate * truth.load_report_factor,
-                                .mean_service_time = std::llround(truth.service_seconds * 1'000),
-                                .share = share})
-            : truth.size.upstreams;
-    const double busy = truth.arrival_rate * share / 100 * truth.service_seconds;
-    return busy / (used * truth.size.slots);
-}
-
 /** Calls in progress on upstreams that a crashing request takes down; most are excluded. */
 inline void count_crashes(simulation& run, time_ms now)
 {
@@ -593,9 +603,9 @@
     for (proxy& source : run.proxies)
     {
         const tick_share shares = share_in_tick(run, source, now);
-        const double utilization = new_utilization(run, shares.share) * load;
-        // Calls above the slots are refused as not run and go to another upstream.
-        const double crowding = utilization > 0.9 ? 0.02 : 0;
+        const preferred_load upstreams = new_load(run, shares.share, load);
+        // A refusal and the way to another upstream make some calls slow.
+        const double crowding = upstreams.utilization > 0.9 ? 0.02 : 0;
         const double rate = run.truth.arrival_rate * load * tick / 1'000 / domains;
         std::uint64_t proxy_new = 0;
         for (std::size_t route = 0; route < route_count; ++route)
@@ -609,7 +619,7 @@
             count_calls(run, counters.from, from, failures, slow, 0);
             affected += count_calls(run, counters.to, to, failures * run.truth.failure_factor,
                                     slow * run.truth.slow_factor + crowding,
-                                    fault_probability(run, route, utilization, now));
+                                    fault_probability(run, route, upstreams, now));
             proxy_new += to;
             all_calls += to + from;
         }
