Test all routes together beside each route

Cause: a fault on all routes of a small service showed too rarely on each of them. Change: the sum over the routes is one more test; the error budget is split over one more.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -182,6 +182,8 @@
 struct move_history
 {
     std::map<std::string, route_history> routes;
+    /** All routes together: finds a fault that shows too rarely on each of them. */
+    route_history all_routes;
     burst_tracker failure_bursts;
     burst_tracker slow_bursts;
     time_ms observed_until = 0;
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -32,11 +32,11 @@
     return named ? *named : *registry<verdict_test>::find("sequential");
 }
 
-/** The error budget is split evenly over the routes and the two signals. */
+/** The error budget is split evenly over the routes, their sum, and the two signals. */
 double error_share(const move_policy& policy, std::size_t routes)
 {
-    return policy.wrong_withdrawal_probability /
-           static_cast<double>(2 * std::max<std::size_t>(routes, 1));
+    const auto tests = static_cast<double>(2 * (routes + 1));
+    return policy.wrong_withdrawal_probability / tests;
 }
 
 test_parameters failure_parameters(const move_policy& policy, std::size_t routes)
@@ -95,20 +95,48 @@
     return std::max(0.0, bursts.worst_rate - usual);
 }
 
-/** Feeds what the old version did on all routes together since the last totals. */
-void observe_service_bursts(move_history& history, const evidence_totals& totals)
+route_counters sum_routes(const evidence_totals& totals)
 {
-    version_counters sum;
+    route_counters sum;
     for (const auto& [name, counters] : totals)
     {
-        const version_counters& seen = history.routes[name].seen.from;
-        sum.calls += counters.from.calls - seen.calls;
-        sum.failures += counters.from.failures - seen.failures;
-        sum.slow += counters.from.slow - seen.slow;
+        sum.from.calls += counters.from.calls;
+        sum.from.failures += counters.from.failures;
+        sum.from.slow += counters.from.slow;
+        sum.to.calls += counters.to.calls;
+        sum.to.failures += counters.to.failures;
+        sum.to.slow += counters.to.slow;
     }
-    const auto calls = static_cast<double>(sum.calls);
-    observe_bursts(history.failure_bursts, calls, static_cast<double>(sum.failures));
-    observe_bursts(history.slow_bursts, calls, static_cast<double>(sum.slow));
+    return sum;
+}
+
+/** Circumstances that an interval shares over all routes. */
+struct interval_context
+{
+    double elapsed_fraction = 0;
+    bool share_rose = false;
+    bool lone = false;
+    double old_failure_burst = 0;
+    double old_slow_burst = 0;
+};
+
+void observe_route(route_history& route, const route_counters& counters, const move_policy& policy,
+                   std::size_t routes, const interval_context& shared)
+{
+    const verdict_test test = find_test(policy);
+    interval_counts failures = failure_interval(route.seen, counters);
+    failures.elapsed_fraction = shared.elapsed_fraction;
+    failures.share_rose = shared.share_rose;
+    failures.lone = shared.lone;
+    failures.old_burst = shared.old_failure_burst;
+    test.observe(route.failures, failures, failure_parameters(policy, routes));
+    interval_counts slow = slow_interval(route.seen, counters);
+    slow.elapsed_fraction = shared.elapsed_fraction;
+    slow.share_rose = shared.share_rose;
+    slow.lone = shared.lone;
+    slow.old_burst = shared.old_slow_burst;
+    test.observe(route.slow, slow, slow_parameters(policy, routes));
+    route.seen = counters;
 }
 
 struct harm
@@ -120,42 +148,51 @@
 std::string describe_harm(std::string_view route, std::string_view signal, std::uint64_t to_hits,
                           std::uint64_t to_calls, std::uint64_t from_hits, std::uint64_t from_calls)
 {
-    return fmt::format("route {}: {} {} of {} calls on the new version, {} of {} on the old one",
-                       route, to_hits, signal, to_calls, from_hits, from_calls);
+    return fmt::format("{}: {} {} of {} calls on the new version, {} of {} on the old one", route,
+                       to_hits, signal, to_calls, from_hits, from_calls);
+}
+
+/** Certain harm on the route, else a suspicion, else nothing. */
+std::optional<harm> find_route_harm(const move_policy& policy, std::string_view name,
+                                    const route_history& route, std::size_t routes)
+{
+    const verdict_test test = find_test(policy);
+    const verdict failures = test.judge(route.failures, failure_parameters(policy, routes));
+    const verdict slow = test.judge(route.slow, slow_parameters(policy, routes));
+    const version_counters& from = route.seen.from;
+    const version_counters& to = route.seen.to;
+    if (failures.harmful || (failures.suspicious && !slow.harmful))
+    {
+        return harm{.reason = describe_harm(name, "failures", to.failures, to.calls, from.failures,
+                                            from.calls),
+                    .certain = failures.harmful};
+    }
+    if (slow.harmful || slow.suspicious)
+    {
+        return harm{.reason =
+                        describe_harm(name, "slow calls", to.slow, to.calls, from.slow, from.calls),
+                    .certain = slow.harmful};
+    }
+    return std::nullopt;
 }
 
 /** The first certain harm in route order, else the first suspicion. */
-std::optional<harm> find_harm(const move_spec& spec, const move_history& history,
+std::optional<harm> find_harm(const move_policy& policy, const move_history& history,
                               std::size_t routes)
 {
-    const verdict_test test = find_test(spec.policy);
-    const test_parameters for_failures = failure_parameters(spec.policy, routes);
-    const test_parameters for_slow = slow_parameters(spec.policy, routes);
     std::optional<harm> suspicion;
     for (const auto& [name, route] : history.routes)
     {
-        const version_counters& from = route.seen.from;
-        const version_counters& to = route.seen.to;
-        const verdict failures = test.judge(route.failures, for_failures);
-        if (failures.harmful || (failures.suspicious && !suspicion))
-        {
-            suspicion = {.reason = describe_harm(name, "failures", to.failures, to.calls,
-                                                 from.failures, from.calls),
-                         .certain = failures.harmful};
-        }
-        const verdict slow = test.judge(route.slow, for_slow);
-        if (!(suspicion && suspicion->certain) && (slow.harmful || (slow.suspicious && !suspicion)))
-        {
-            suspicion = {.reason = describe_harm(name, "slow calls", to.slow, to.calls, from.slow,
-                                                 from.calls),
-                         .certain = slow.harmful};
-        }
-        if (suspicion && suspicion->certain)
+        const std::optional<harm> found = find_route_harm(policy, "route " + name, route, routes);
+        if (found && found->certain)
         {
-            return suspicion;
+            return found;
         }
+        suspicion = suspicion ? suspicion : found;
     }
-    return suspicion;
+    const std::optional<harm> overall =
+        find_route_harm(policy, "all routes", history.all_routes, routes);
+    return overall && (overall->certain || !suspicion) ? overall : suspicion;
 }
 
 std::uint64_t answered_calls(const move_history& history)
@@ -226,31 +263,26 @@
 void observe_evidence(move_history& history, const move_spec& spec, const move_progress& progress,
                       const evidence_totals& totals, const move_context& context)
 {
-    const verdict_test test = find_test(spec.policy);
     const double length = static_cast<double>(std::max<time_ms>(spec.deadline - spec.start, 1));
     const time_ms since = std::max(history.observed_until, spec.start);
-    const double elapsed = std::max(0.0, static_cast<double>(context.now - since) / length);
     const double share = share_at(spec, progress, context.now);
-    const bool lone = share >= 100;
-    const bool share_rose = share > history.last_share * share_rise_factor;
-    observe_service_bursts(history, totals);
+    const route_counters sum = sum_routes(totals);
+    const interval_counts failures = failure_interval(history.all_routes.seen, sum);
+    const interval_counts slow = slow_interval(history.all_routes.seen, sum);
+    const auto from_calls = static_cast<double>(failures.from_calls);
+    observe_bursts(history.failure_bursts, from_calls, static_cast<double>(failures.from_hits));
+    observe_bursts(history.slow_bursts, from_calls, static_cast<double>(slow.from_hits));
+    const interval_context shared{
+        .elapsed_fraction = std::max(0.0, static_cast<double>(context.now - since) / length),
+        .share_rose = share > history.last_share * share_rise_factor,
+        .lone = share >= 100,
+        .old_failure_burst = burst_height(history.failure_bursts),
+        .old_slow_burst = burst_height(history.slow_bursts)};
     for (const auto& [name, counters] : totals)
     {
-        route_history& route = history.routes[name];
-        interval_counts failures = failure_interval(route.seen, counters);
-        failures.elapsed_fraction = elapsed;
-        failures.share_rose = share_rose;
-        failures.lone = lone;
-        failures.old_burst = burst_height(history.failure_bursts);
-        test.observe(route.failures, failures, failure_parameters(spec.policy, context.routes));
-        interval_counts slow = slow_interval(route.seen, counters);
-        slow.elapsed_fraction = elapsed;
-        slow.share_rose = share_rose;
-        slow.lone = lone;
-        slow.old_burst = burst_height(history.slow_bursts);
-        test.observe(route.slow, slow, slow_parameters(spec.policy, context.routes));
-        route.seen = counters;
+        observe_route(history.routes[name], counters, spec.policy, context.routes, shared);
     }
+    observe_route(history.all_routes, sum, spec.policy, context.routes, shared);
     if (progress.step != history.step)
     {
         history.step = progress.step;
@@ -267,7 +299,7 @@
     {
         return {.progress = progress};
     }
-    const std::optional<harm> found = find_harm(spec, history, context.routes);
+    const std::optional<harm> found = find_harm(spec.policy, history, context.routes);
     if (found && found->certain)
     {
         return withdraw(progress, found->reason);
