--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -22,6 +22,8 @@
 constexpr time_ms deadline_lead = 2'500;
 /** Calls that a move needs when its policy doesn't advance on little evidence. */
 constexpr std::uint64_t enough_calls = 50;
+/** Stands for the sum over all routes in reasons. */
+constexpr std::string_view all_routes_name = "all routes";
 /** Share rises below this factor (daemon clocks, rounding) do not count as a new step. */
 constexpr double share_rise_factor = 1.2;
 
@@ -32,6 +34,14 @@
     return named ? *named : *registry<verdict_test>::find("sequential");
 }
 
+/** A policy's verdict test with the parameters of both signals. */
+struct signal_tests
+{
+    verdict_test test;
+    test_parameters failures;
+    test_parameters slow;
+};
+
 /** The error budget is split evenly over the routes, their sum, and the two signals. */
 double error_share(const move_policy& policy, std::size_t routes)
 {
@@ -39,16 +49,14 @@
     return policy.wrong_withdrawal_probability / tests;
 }
 
-test_parameters failure_parameters(const move_policy& policy, std::size_t routes)
-{
-    return {.tolerated_increase = policy.tolerated_increase,
-            .error_probability = error_share(policy, routes)};
-}
-
-test_parameters slow_parameters(const move_policy& policy, std::size_t routes)
+signal_tests find_signal_tests(const move_policy& policy, std::size_t routes)
 {
-    return {.tolerated_increase = policy.tolerated_slow_increase,
-            .error_probability = error_share(policy, routes)};
+    const double error_probability = error_share(policy, routes);
+    return {.test = find_test(policy),
+            .failures = {.tolerated_increase = policy.tolerated_increase,
+                         .error_probability = error_probability},
+            .slow = {.tolerated_increase = policy.tolerated_slow_increase,
+                     .error_probability = error_probability}};
 }
 
 interval_counts failure_interval(const route_counters& before, const route_counters& after)
@@ -120,22 +128,21 @@
     double old_slow_burst = 0;
 };
 
-void observe_route(route_history& route, const route_counters& counters, const move_policy& policy,
-                   std::size_t routes, const interval_context& shared)
+void observe_route(route_history& route, const route_counters& counters,
+                   const signal_tests& signals, const interval_context& shared)
 {
-    const verdict_test test = find_test(policy);
     interval_counts failures = failure_interval(route.seen, counters);
     failures.elapsed_fraction = shared.elapsed_fraction;
     failures.share_rose = shared.share_rose;
     failures.lone = shared.lone;
     failures.old_burst = shared.old_failure_burst;
-    test.observe(route.failures, failures, failure_parameters(policy, routes));
+    signals.test.observe(route.failures, failures, signals.failures);
     interval_counts slow = slow_interval(route.seen, counters);
     slow.elapsed_fraction = shared.elapsed_fraction;
     slow.share_rose = shared.share_rose;
     slow.lone = shared.lone;
     slow.old_burst = shared.old_slow_burst;
-    test.observe(route.slow, slow, slow_parameters(policy, routes));
+    signals.test.observe(route.slow, slow, signals.slow);
     route.seen = counters;
 }
 
@@ -148,17 +155,18 @@
 std::string describe_harm(std::string_view route, std::string_view signal, std::uint64_t to_hits,
                           std::uint64_t to_calls, std::uint64_t from_hits, std::uint64_t from_calls)
 {
-    return fmt::format("{}: {} {} of {} calls on the new version, {} of {} on the old one", route,
-                       to_hits, signal, to_calls, from_hits, from_calls);
+    // Operators read "route NAME: 12 failures of 80 calls on the new version, ...".
+    const std::string_view kind = route == all_routes_name ? "" : "route ";
+    return fmt::format("{}{}: {} {} of {} calls on the new version, {} of {} on the old one", kind,
+                       route, to_hits, signal, to_calls, from_hits, from_calls);
 }
 
 /** Certain harm on the route, else a suspicion, else nothing. */
-std::optional<harm> find_route_harm(const move_policy& policy, std::string_view name,
-                                    const route_history& route, std::size_t routes)
+std::optional<harm> find_route_harm(const signal_tests& signals, std::string_view name,
+                                    const route_history& route)
 {
-    const verdict_test test = find_test(policy);
-    const verdict failures = test.judge(route.failures, failure_parameters(policy, routes));
-    const verdict slow = test.judge(route.slow, slow_parameters(policy, routes));
+    const verdict failures = signals.test.judge(route.failures, signals.failures);
+    const verdict slow = signals.test.judge(route.slow, signals.slow);
     const version_counters& from = route.seen.from;
     const version_counters& to = route.seen.to;
     if (failures.harmful || (failures.suspicious && !slow.harmful))
@@ -180,10 +188,11 @@
 std::optional<harm> find_harm(const move_policy& policy, const move_history& history,
                               std::size_t routes)
 {
+    const signal_tests signals = find_signal_tests(policy, routes);
     std::optional<harm> suspicion;
     for (const auto& [name, route] : history.routes)
     {
-        const std::optional<harm> found = find_route_harm(policy, "route " + name, route, routes);
+        const std::optional<harm> found = find_route_harm(signals, name, route);
         if (found && found->certain)
         {
             return found;
@@ -191,7 +200,7 @@
         suspicion = suspicion ? suspicion : found;
     }
     const std::optional<harm> overall =
-        find_route_harm(policy, "all routes", history.all_routes, routes);
+        find_route_harm(signals, all_routes_name, history.all_routes);
     return overall && (overall->certain || !suspicion) ? overall : suspicion;
 }
 
@@ -278,11 +287,12 @@
         .lone = share >= 100,
         .old_failure_burst = burst_height(history.failure_bursts),
         .old_slow_burst = burst_height(history.slow_bursts)};
+    const signal_tests signals = find_signal_tests(spec.policy, context.routes);
     for (const auto& [name, counters] : totals)
     {
-        observe_route(history.routes[name], counters, spec.policy, context.routes, shared);
+        observe_route(history.routes[name], counters, signals, shared);
     }
-    observe_route(history.all_routes, sum, spec.policy, context.routes, shared);
+    observe_route(history.all_routes, sum, signals, shared);
     if (progress.step != history.step)
     {
         history.step = progress.step;
--- a/src/verdict_sequential.cpp
+++ b/src/verdict_sequential.cpp
@@ -1,12 +1,13 @@
 #include "sardinepoint/move.hpp"
 #include "sardinepoint/registry.hpp"
 
-#include <boost/math/tools/toms748_solve.hpp>
+#include <boost/math/tools/roots.hpp>
 
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdint>
+#include <utility>
 
 // An e-process for "the new rate exceeds the old rate by at most the tolerated increase". Each
 // interval contributes the likelihood ratio of an alternative, fixed before the interval, to the
@@ -89,9 +90,11 @@
     double to = 0;
 };
 
-double log_likelihood(double calls, double hits, double rate)
+/** Logarithm of the likelihood ratio of two hit rates. */
+double log_ratio(double calls, double hits, double bet, double null)
 {
-    return hits * std::log(rate) + (calls - hits) * std::log1p(-rate);
+    const double misses = (calls - hits) * std::log((1 - bet) / (1 - null));
+    return hits > 0 ? hits * std::log(bet / null) + misses : misses;
 }
 
 /** The point of the null set's boundary that is closest to the alternative. */
@@ -99,17 +102,24 @@
 {
     const double low = alternative.from;
     const double high = alternative.to - tolerated;
+    // Derivatives of the divergence with respect to the old rate; the divergence is convex.
     const auto slope = [&](double rate)
     {
         const double shifted = rate + tolerated;
-        return from_calls * (rate - alternative.from) / (rate * (1 - rate)) +
-               to_calls * (shifted - alternative.to) / (shifted * (1 - shifted));
+        const double from_variance = rate * (1 - rate);
+        const double to_variance = shifted * (1 - shifted);
+        const double from_part = from_calls * (rate - alternative.from) / from_variance;
+        const double to_part = to_calls * (shifted - alternative.to) / to_variance;
+        const double curvature = (from_calls - from_part * (1 - 2 * rate)) / from_variance +
+                                 (to_calls - to_part * (1 - 2 * shifted)) / to_variance;
+        return std::pair(from_part + to_part, curvature);
     };
+    const double from_weight = from_calls / (low * (1 - low));
+    const double to_weight = to_calls / (alternative.to * (1 - alternative.to));
+    const double guess = (from_weight * low + to_weight * high) / (from_weight + to_weight);
     std::uintmax_t iterations = root_iterations;
-    const auto bracket = boost::math::tools::toms748_solve(
-        slope, low, high, slope(low), slope(high),
-        boost::math::tools::eps_tolerance<double>(root_bits), iterations);
-    const double rate = (bracket.first + bracket.second) / 2;
+    const double rate =
+        boost::math::tools::newton_raphson_iterate(slope, guess, low, high, root_bits, iterations);
     return {.from = rate, .to = rate + tolerated};
 }
 
@@ -182,10 +192,8 @@
         const rates bet{.from = from,
                         .to = alternative_rate(from, tolerated, effect_sizes[effect])};
         const rates null = project(bet, from_calls, to_calls, tolerated);
-        const double gain = log_likelihood(from_calls, from_hits, bet.from) -
-                            log_likelihood(from_calls, from_hits, null.from) +
-                            log_likelihood(to_calls, to_hits, bet.to) -
-                            log_likelihood(to_calls, to_hits, null.to);
+        const double gain = log_ratio(from_calls, from_hits, bet.from, null.from) +
+                            log_ratio(to_calls, to_hits, bet.to, null.to);
         multiply(values[paired + effect], values[pending_weight], gain);
     }
     values[pending_weight] = 0;
@@ -214,7 +222,7 @@
     for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
     {
         const double bet = alternative_rate(null, 0, effect_sizes[effect]);
-        const double gain = log_likelihood(calls, hits, bet) - log_likelihood(calls, hits, null);
+        const double gain = log_ratio(calls, hits, bet, null);
         multiply(values[history + effect], weight, gain);
     }
 }
--- a/support/move_bench.hpp
+++ b/support/move_bench.hpp
@@ -404,7 +404,7 @@
 
 struct proxy
 {
-    evidence_totals counters;
+    std::array<route_counters, route_count> counters;
     move_progress progress;
     std::vector<pending_progress> inbox;
 };
@@ -611,7 +611,7 @@
             std::min<double>(rate * run.truth.service_seconds, run.truth.size.slots);
         const std::uint64_t lost =
             poisson(run.random, in_progress * crashes_before_quarantine * not_excluded);
-        route_counters& counters = run.proxies[0].counters[route_names[0]];
+        route_counters& counters = run.proxies[0].counters[0];
         version_counters& hit = event.on_new_version ? counters.to : counters.from;
         hit.calls += lost;
         hit.failures += lost;
@@ -643,7 +643,7 @@
             const double mean = rate * route_weights[route];
             const std::uint64_t to = poisson(run.random, mean * shares.share / 100);
             const std::uint64_t from = poisson(run.random, mean * (100 - shares.share) / 100);
-            route_counters& counters = source.counters[route_names[route]];
+            route_counters& counters = source.counters[route];
             const double failures = run.truth.failure_rates[route];
             const double slow = run.truth.slow_rates[route];
             count_calls(run, counters.from, from, failures, slow, 0);
@@ -675,6 +675,16 @@
     }
 }
 
+inline evidence_totals make_report(const proxy& source)
+{
+    evidence_totals report;
+    for (std::size_t route = 0; route < route_count; ++route)
+    {
+        report.emplace_hint(report.end(), route_names[route], source.counters[route]);
+    }
+    return report;
+}
+
 /** Each proxy sends its counters to the aggregators it reaches. */
 inline void send_reports(simulation& run, time_ms now)
 {
@@ -692,7 +702,7 @@
             target.reports.push_back({.arrival = now + delay,
                                       .sent = now,
                                       .proxy = index,
-                                      .counters = run.proxies[index].counters});
+                                      .counters = make_report(run.proxies[index])});
         }
     }
 }
