--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -192,7 +192,7 @@
     std::optional<harm> suspicion;
     for (const auto& [name, route] : history.routes)
     {
-        const std::optional<harm> found = find_route_harm(signals, name, route);
+        std::optional<harm> found = find_route_harm(signals, name, route);
         if (found && found->certain)
         {
             return found;
--- a/src/verdict_sequential.cpp
+++ b/src/verdict_sequential.cpp
@@ -55,7 +55,7 @@
 constexpr double highest_rate = 0.9;
 
 /** Fraction of the threshold above which the share must not rise. */
-constexpr double suspicion_fraction = 0.02;
+constexpr double suspicion_fraction = 0.002;
 /** Keeps products finite; far beyond any threshold. */
 constexpr double largest_value = 1e100;
 
