--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -45,7 +45,6 @@
     int max_connections = 1000;
     time_ms queue_wait = 200;
     std::string balancing = "least_loaded";
-    std::string verdict = "sequential";
 };
 
 /** One line of the settings table. */
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -2,6 +2,9 @@
 
 #include "json_reader.hpp"
 
+#include "sardinepoint/move.hpp"
+#include "sardinepoint/registry.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -48,7 +51,11 @@
 {
     return {{"advance_on_little_evidence", policy.advance_on_little_evidence},
             {"rise_without_log", policy.rise_without_log},
+            {"stop_when_isolated", policy.stop_when_isolated},
             {"tolerated_increase", policy.tolerated_increase},
+            {"tolerated_slow_increase", policy.tolerated_slow_increase},
+            {"wrong_withdrawal_probability", policy.wrong_withdrawal_probability},
+            {"verdict_test", policy.verdict_test},
             {"watch_ms", policy.watch}};
 }
 
@@ -165,6 +172,16 @@
     policy.rise_without_log = reader.boolean_or("rise_without_log", policy.rise_without_log);
     policy.tolerated_increase =
         reader.number_or("tolerated_increase", policy.tolerated_increase, 0, 1);
+    policy.stop_when_isolated = reader.boolean_or("stop_when_isolated", policy.stop_when_isolated);
+    policy.tolerated_slow_increase =
+        reader.number_or("tolerated_slow_increase", policy.tolerated_slow_increase, 0, 1);
+    policy.wrong_withdrawal_probability = reader.number_or(
+        "wrong_withdrawal_probability", policy.wrong_withdrawal_probability, 1e-9, 0.5);
+    policy.verdict_test = reader.text_or("verdict_test", policy.verdict_test);
+    if (registry<verdict_test>::find(policy.verdict_test) == nullptr)
+    {
+        reader.fail("verdict_test", "is not a registered test", "use sequential or threshold");
+    }
     policy.watch = reader.integer_or("watch_ms", policy.watch, 0, longest_watch_ms);
     failed = !reader.finish();
     return policy;
--- /dev/null
+++ b/src/move_decision.cpp
@@ -0,0 +1,362 @@
+#include "sardinepoint/move.hpp"
+
+#include "sardinepoint/registry.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace sardinepoint
+{
+namespace
+{
+
+/** Time that a decision needs to reach all proxies. */
+constexpr time_ms decision_spread = 1'000;
+/** Time for which a step's evidence is needed before the next step is permitted. */
+constexpr time_ms minimum_hold = 1'500;
+/** The end is decided this long before the deadline: one decision interval, the spread of the
+ * decision and half a second of reserve. */
+constexpr time_ms deadline_lead = 2'500;
+/** Calls that a move needs when its policy doesn't advance on little evidence. */
+constexpr std::uint64_t enough_calls = 50;
+/** Stands for the sum over all routes in reasons. */
+constexpr std::string_view all_routes_name = "all routes";
+/** Share rises below this factor (daemon clocks, rounding) do not count as a new step. */
+constexpr double share_rise_factor = 1.2;
+
+verdict_test find_test(const move_policy& policy)
+{
+    const auto named = registry<verdict_test>::find(policy.verdict_test);
+    // Patch validation rejects unknown names; a peer of a newer release may still send one.
+    return named ? *named : *registry<verdict_test>::find("sequential");
+}
+
+/** A policy's verdict test with the parameters of both signals. */
+struct signal_tests
+{
+    verdict_test test;
+    test_parameters failures;
+    test_parameters slow;
+};
+
+/** The error budget is split evenly over the routes, their sum, and the two signals. */
+double error_share(const move_policy& policy, std::size_t routes)
+{
+    const auto tests = static_cast<double>(2 * (routes + 1));
+    return policy.wrong_withdrawal_probability / tests;
+}
+
+signal_tests find_signal_tests(const move_policy& policy, std::size_t routes)
+{
+    const double error_probability = error_share(policy, routes);
+    return {.test = find_test(policy),
+            .failures = {.tolerated_increase = policy.tolerated_increase,
+                         .error_probability = error_probability},
+            .slow = {.tolerated_increase = policy.tolerated_slow_increase,
+                     .error_probability = error_probability}};
+}
+
+interval_counts failure_interval(const route_counters& before, const route_counters& after)
+{
+    return {.from_calls = after.from.calls - before.from.calls,
+            .from_hits = after.from.failures - before.from.failures,
+            .to_calls = after.to.calls - before.to.calls,
+            .to_hits = after.to.failures - before.to.failures};
+}
+
+interval_counts slow_interval(const route_counters& before, const route_counters& after)
+{
+    return {.from_calls = after.from.calls - before.from.calls,
+            .from_hits = after.from.slow - before.from.slow,
+            .to_calls = after.to.calls - before.to.calls,
+            .to_hits = after.to.slow - before.to.slow};
+}
+
+/** Short enough to catch bursts of a second on a busy service. */
+constexpr double burst_period_calls = 100;
+constexpr double usual_rate_decay = 0.99;
+
+void observe_bursts(burst_tracker& bursts, double calls, double hits)
+{
+    bursts.usual_hits = bursts.usual_hits * usual_rate_decay + hits;
+    bursts.usual_calls = bursts.usual_calls * usual_rate_decay + calls;
+    bursts.period_hits += hits;
+    bursts.period_calls += calls;
+    if (bursts.period_calls < burst_period_calls)
+    {
+        return;
+    }
+    const double rate = bursts.period_hits / bursts.period_calls;
+    // The lower bound: of many short periods the highest plain rate is mere chance.
+    const double spread = std::sqrt(rate * (1 - rate) / bursts.period_calls);
+    bursts.worst_rate = std::max(bursts.worst_rate, rate - 2 * spread);
+    bursts.period_hits = 0;
+    bursts.period_calls = 0;
+}
+
+double burst_height(const burst_tracker& bursts)
+{
+    const double usual = bursts.usual_hits / std::max(bursts.usual_calls, 1.0);
+    return std::max(0.0, bursts.worst_rate - usual);
+}
+
+route_counters sum_routes(const evidence_totals& totals)
+{
+    route_counters sum;
+    for (const auto& [name, counters] : totals)
+    {
+        sum.from.calls += counters.from.calls;
+        sum.from.failures += counters.from.failures;
+        sum.from.slow += counters.from.slow;
+        sum.to.calls += counters.to.calls;
+        sum.to.failures += counters.to.failures;
+        sum.to.slow += counters.to.slow;
+    }
+    return sum;
+}
+
+/** Circumstances that an interval shares over all routes. */
+struct interval_context
+{
+    double elapsed_fraction = 0;
+    bool share_rose = false;
+    bool lone = false;
+    double old_failure_burst = 0;
+    double old_slow_burst = 0;
+};
+
+void observe_route(route_history& route, const route_counters& counters,
+                   const signal_tests& signals, const interval_context& shared)
+{
+    interval_counts failures = failure_interval(route.seen, counters);
+    failures.elapsed_fraction = shared.elapsed_fraction;
+    failures.share_rose = shared.share_rose;
+    failures.lone = shared.lone;
+    failures.old_burst = shared.old_failure_burst;
+    signals.test.observe(route.failures, failures, signals.failures);
+    interval_counts slow = slow_interval(route.seen, counters);
+    slow.elapsed_fraction = shared.elapsed_fraction;
+    slow.share_rose = shared.share_rose;
+    slow.lone = shared.lone;
+    slow.old_burst = shared.old_slow_burst;
+    signals.test.observe(route.slow, slow, signals.slow);
+    route.seen = counters;
+}
+
+struct harm
+{
+    std::string reason;
+    bool certain = false;
+};
+
+std::string describe_harm(std::string_view route, std::string_view signal, std::uint64_t to_hits,
+                          std::uint64_t to_calls, std::uint64_t from_hits, std::uint64_t from_calls)
+{
+    // Operators read "route NAME: 12 failures of 80 calls on the new version, ...".
+    const std::string_view kind = route == all_routes_name ? "" : "route ";
+    return fmt::format("{}{}: {} {} of {} calls on the new version, {} of {} on the old one", kind,
+                       route, to_hits, signal, to_calls, from_hits, from_calls);
+}
+
+/** Certain harm on the route, else a suspicion, else nothing. */
+std::optional<harm> find_route_harm(const signal_tests& signals, std::string_view name,
+                                    const route_history& route)
+{
+    const verdict failures = signals.test.judge(route.failures, signals.failures);
+    const verdict slow = signals.test.judge(route.slow, signals.slow);
+    const version_counters& from = route.seen.from;
+    const version_counters& to = route.seen.to;
+    if (failures.harmful || (failures.suspicious && !slow.harmful))
+    {
+        return harm{.reason = describe_harm(name, "failures", to.failures, to.calls, from.failures,
+                                            from.calls),
+                    .certain = failures.harmful};
+    }
+    if (slow.harmful || slow.suspicious)
+    {
+        return harm{.reason =
+                        describe_harm(name, "slow calls", to.slow, to.calls, from.slow, from.calls),
+                    .certain = slow.harmful};
+    }
+    return std::nullopt;
+}
+
+/** The first certain harm in route order, else the first suspicion. */
+std::optional<harm> find_harm(const move_policy& policy, const move_history& history,
+                              std::size_t routes)
+{
+    const signal_tests signals = find_signal_tests(policy, routes);
+    std::optional<harm> suspicion;
+    for (const auto& [name, route] : history.routes)
+    {
+        std::optional<harm> found = find_route_harm(signals, name, route);
+        if (found && found->certain)
+        {
+            return found;
+        }
+        suspicion = suspicion ? suspicion : found;
+    }
+    const std::optional<harm> overall =
+        find_route_harm(signals, all_routes_name, history.all_routes);
+    return overall && (overall->certain || !suspicion) ? overall : suspicion;
+}
+
+std::uint64_t answered_calls(const move_history& history)
+{
+    std::uint64_t answered = 0;
+    for (const auto& [name, route] : history.routes)
+    {
+        answered += route.seen.to.calls - std::min(route.seen.to.failures, route.seen.to.calls);
+    }
+    return answered;
+}
+
+move_decision withdraw(const move_progress& progress, std::string reason)
+{
+    move_decision decision{.progress = progress};
+    decision.progress.withdrawn = true;
+    decision.progress.reason = std::move(reason);
+    return decision;
+}
+
+move_decision hold(const move_progress& progress, std::string reason)
+{
+    return {.progress = progress, .hold_reason = std::move(reason)};
+}
+
+move_decision complete(const move_spec& spec, const move_progress& progress, std::string reason)
+{
+    move_decision decision{.progress = progress};
+    decision.progress.step = static_cast<int>(spec.steps.size()) - 1;
+    decision.progress.done = true;
+    decision.progress.reason = std::move(reason);
+    return decision;
+}
+
+/** Completes the move if the new version has answered enough calls, else calls it off. */
+move_decision decide_at_deadline(const move_spec& spec, const move_progress& progress,
+                                 const move_history& history, const std::optional<harm>& suspicion,
+                                 bool steps_passed)
+{
+    if (suspicion)
+    {
+        return withdraw(progress,
+                        "suspected harm not cleared up by the deadline: " + suspicion->reason);
+    }
+    const std::uint64_t answered = answered_calls(history);
+    if (answered == 0)
+    {
+        return withdraw(progress, "the new version answered no call before the deadline");
+    }
+    if (!spec.policy.advance_on_little_evidence && (!steps_passed || answered < enough_calls))
+    {
+        return withdraw(progress, "too little evidence before the deadline");
+    }
+    return complete(spec, progress,
+                    steps_passed ? "all steps passed" : "deadline reached without a sign of harm");
+}
+
+/** Whether the evidence covers the present step for long enough. */
+bool is_step_observed(const move_spec& spec, const move_progress& progress,
+                      const move_history& history, time_ms evidence_until)
+{
+    const time_ms in_effect = std::max(history.step_since, step_start(spec, progress.step));
+    return evidence_until >= in_effect + minimum_hold;
+}
+
+} // namespace
+
+void observe_evidence(move_history& history, const move_spec& spec, const move_progress& progress,
+                      const evidence_totals& totals, const move_context& context)
+{
+    const double length = static_cast<double>(std::max<time_ms>(spec.deadline - spec.start, 1));
+    const time_ms since = std::max(history.observed_until, spec.start);
+    const double share = share_at(spec, progress, context.now);
+    const route_counters sum = sum_routes(totals);
+    const interval_counts failures = failure_interval(history.all_routes.seen, sum);
+    const interval_counts slow = slow_interval(history.all_routes.seen, sum);
+    const auto from_calls = static_cast<double>(failures.from_calls);
+    observe_bursts(history.failure_bursts, from_calls, static_cast<double>(failures.from_hits));
+    observe_bursts(history.slow_bursts, from_calls, static_cast<double>(slow.from_hits));
+    const interval_context shared{
+        .elapsed_fraction = std::max(0.0, static_cast<double>(context.now - since) / length),
+        .share_rose = share > history.last_share * share_rise_factor,
+        .lone = share >= 100,
+        .old_failure_burst = burst_height(history.failure_bursts),
+        .old_slow_burst = burst_height(history.slow_bursts)};
+    const signal_tests signals = find_signal_tests(spec.policy, context.routes);
+    for (const auto& [name, counters] : totals)
+    {
+        observe_route(history.routes[name], counters, signals, shared);
+    }
+    observe_route(history.all_routes, sum, signals, shared);
+    if (progress.step != history.step)
+    {
+        history.step = progress.step;
+        history.step_since = context.now;
+    }
+    history.last_share = share;
+    history.observed_until = context.now;
+}
+
+move_decision decide_move(const move_spec& spec, const move_progress& progress,
+                          const move_history& history, const move_context& context)
+{
+    if (!is_watched(spec, progress, context.now))
+    {
+        return {.progress = progress};
+    }
+    const std::optional<harm> found = find_harm(spec.policy, history, context.routes);
+    if (found && found->certain)
+    {
+        return withdraw(progress, found->reason);
+    }
+    if (progress.done)
+    {
+        return {.progress = progress};
+    }
+    if (!context.log_available && !spec.policy.rise_without_log)
+    {
+        return hold(progress, "the log is unavailable");
+    }
+    if (context.isolated && spec.policy.stop_when_isolated)
+    {
+        return hold(progress, "isolated from the other failure domains");
+    }
+    const int last = static_cast<int>(spec.steps.size()) - 1;
+    const bool observed = is_step_observed(spec, progress, history, context.evidence_until);
+    if (context.now >= spec.deadline - deadline_lead)
+    {
+        const bool steps_passed = progress.step >= last - 1 && observed;
+        return decide_at_deadline(spec, progress, history, found, steps_passed);
+    }
+    if (found)
+    {
+        return hold(progress, "suspected harm: " + found->reason);
+    }
+    const int next = progress.step + 1;
+    if (next > last || context.now + decision_spread < step_start(spec, next))
+    {
+        return {.progress = progress};
+    }
+    if (!observed)
+    {
+        return hold(progress, "waiting for evidence of the present step");
+    }
+    if (next < last)
+    {
+        move_decision raised{.progress = progress};
+        raised.progress.step = next;
+        return raised;
+    }
+    if (answered_calls(history) == 0)
+    {
+        return hold(progress, "the new version has answered no call");
+    }
+    return complete(spec, progress, "all steps passed");
+}
+
+} // namespace sardinepoint
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -204,9 +204,6 @@
         {{"calls", "balancing", "", "least_loaded", "balancing policy"},
          false,
          text_setter(&settings::balancing)},
-        {{"moves", "verdict", "", "sequential", "test that compares two versions"},
-         false,
-         text_setter(&settings::verdict)},
     };
     return all;
 }
@@ -267,7 +264,7 @@
     if (keys.empty())
     {
         fail(context, "section [" + section + "] is unknown",
-             "use one of: [daemon], [log], [peers], [upstream], [calls], [moves]");
+             "use one of: [daemon], [log], [peers], [upstream], [calls]");
         return;
     }
     fail(context, name + " is unknown", "remove it or use one of: " + keys);
--- /dev/null
+++ b/src/verdict_sequential.cpp
@@ -0,0 +1,310 @@
+#include "sardinepoint/move.hpp"
+#include "sardinepoint/registry.hpp"
+
+#include <boost/math/tools/roots.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+
+// An e-process for "the new rate exceeds the old rate by at most the tolerated increase". Each
+// interval contributes the likelihood ratio of an alternative, fixed before the interval, to the
+// null point that is closest to it in Kullback-Leibler divergence. The null set is convex, so the
+// expectation of this ratio is at most 1 whatever the true rates are, and they may change from
+// interval to interval (Turner and Grünwald, "Safe sequential testing and effect estimation in
+// stratified count data"). A weighted sum over the intervals at which the fault may have begun is
+// again an e-process; by Ville's inequality it ever exceeds 1/p with probability at most p.
+
+namespace sardinepoint
+{
+namespace
+{
+
+/** Excess of the new rate over the tolerated one, as a fraction of what is left up to 1. */
+constexpr std::array<double, 4> effect_sizes{0.04, 0.12, 0.35, 0.9};
+
+// Weights of the possible beginnings of a fault; they sum to 1. The ramp and the time after it are
+// short and a load fault begins there, so an interval there weighs more than one before.
+constexpr double weight_first_interval = 0.25;
+constexpr double weight_elapsed = 0.25;
+constexpr double weight_ramp = 0.3;
+constexpr double weight_lone = 0.2;
+/** Part of what is left of the weight for the ramp that each interval takes. */
+constexpr double ramp_part = 0.025;
+constexpr double lone_part = 0.05;
+
+/** Part of the error budget for the comparison with the old version's history. */
+constexpr double history_budget = 0.3;
+/** Excess over the old version's history that is not harm, on top of the tolerated increase. */
+constexpr double history_margin = 0.005;
+/** A burst without a comparison may be this much worse than the worst one seen. */
+constexpr double burst_factor = 2.5;
+/** Calls of the old version in one period of its worst rate; shorter ones have no usable rate. */
+constexpr double baseline_period_calls = 100;
+
+// The old rate is the recent one, smoothed by this many calls at the long-term rate, so that the
+// bet follows a version that fails in bursts.
+constexpr double rate_decay = 0.95;
+constexpr double recent_decay = 0.5;
+constexpr double smoothing_calls = 100;
+constexpr double prior_calls = 20;
+constexpr double prior_hits = 0.2;
+constexpr double lowest_rate = 0.0005;
+constexpr double highest_rate = 0.9;
+
+/** Fraction of the threshold above which the share must not rise. */
+constexpr double suspicion_fraction = 0.002;
+/** Keeps products finite; far beyond any threshold. */
+constexpr double largest_value = 1e100;
+
+constexpr int root_bits = 20;
+constexpr std::uintmax_t root_iterations = 40;
+
+/** Layout of test_state::values. */
+enum index : std::size_t
+{
+    recent_hits,
+    recent_calls,
+    rate_hits,
+    rate_calls,
+    period_hits,
+    period_calls,
+    worst_rate,
+    weight_used,
+    ramp_begun,
+    ramp_used,
+    lone_used,
+    pending_weight,
+    pending_to_calls,
+    pending_to_hits,
+    paired,
+    history = paired + effect_sizes.size(),
+    index_count = history + effect_sizes.size(),
+};
+
+struct rates
+{
+    double from = 0;
+    double to = 0;
+};
+
+/** Logarithm of the likelihood ratio of two hit rates. */
+double log_ratio(double calls, double hits, double bet, double null)
+{
+    const double misses = (calls - hits) * std::log((1 - bet) / (1 - null));
+    return hits > 0 ? hits * std::log(bet / null) + misses : misses;
+}
+
+/** The point of the null set's boundary that is closest to the alternative. */
+rates project(const rates& alternative, double from_calls, double to_calls, double tolerated)
+{
+    const double low = alternative.from;
+    const double high = alternative.to - tolerated;
+    // Derivatives of the divergence with respect to the old rate; the divergence is convex.
+    const auto slope = [&](double rate)
+    {
+        const double shifted = rate + tolerated;
+        const double from_variance = rate * (1 - rate);
+        const double to_variance = shifted * (1 - shifted);
+        const double from_part = from_calls * (rate - alternative.from) / from_variance;
+        const double to_part = to_calls * (shifted - alternative.to) / to_variance;
+        const double curvature = (from_calls - from_part * (1 - 2 * rate)) / from_variance +
+                                 (to_calls - to_part * (1 - 2 * shifted)) / to_variance;
+        return std::pair(from_part + to_part, curvature);
+    };
+    const double from_weight = from_calls / (low * (1 - low));
+    const double to_weight = to_calls / (alternative.to * (1 - alternative.to));
+    const double guess = (from_weight * low + to_weight * high) / (from_weight + to_weight);
+    std::uintmax_t iterations = root_iterations;
+    const double rate =
+        boost::math::tools::newton_raphson_iterate(slope, guess, low, high, root_bits, iterations);
+    return {.from = rate, .to = rate + tolerated};
+}
+
+double alternative_rate(double from, double tolerated, double effect)
+{
+    return from + tolerated + effect * (1 - from - tolerated) * 0.99;
+}
+
+double estimated_rate(const std::vector<double>& values, double tolerated)
+{
+    const double steady = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
+    const double rate =
+        (values[recent_hits] + smoothing_calls * steady) / (values[recent_calls] + smoothing_calls);
+    return std::clamp(rate, lowest_rate, std::min(highest_rate, 0.95 - tolerated));
+}
+
+double bounded_exp(double logarithm)
+{
+    return std::exp(std::min(logarithm, 200.0));
+}
+
+/** Takes a part of what is left of one kind of weight. */
+double take_part(double& used, double whole, double part)
+{
+    const double taken = part * (whole - used);
+    used += taken;
+    return taken;
+}
+
+/** Weight of a fault that begins with this interval. */
+double start_weight(std::vector<double>& values, const interval_counts& interval)
+{
+    double weight = weight_elapsed * interval.elapsed_fraction;
+    if (values[weight_used] == 0)
+    {
+        weight += weight_first_interval;
+    }
+    else if (interval.share_rose)
+    {
+        values[ramp_begun] = 1;
+    }
+    if (interval.lone)
+    {
+        weight += take_part(values[lone_used], weight_lone, lone_part);
+    }
+    else if (values[ramp_begun] > 0)
+    {
+        weight += take_part(values[ramp_used], weight_ramp, ramp_part);
+    }
+    weight = std::min(weight, 1 - values[weight_used]);
+    values[weight_used] += weight;
+    return weight;
+}
+
+/** Adds the possible beginning to a sum of products and multiplies it by the interval's ratio. */
+void multiply(double& value, double weight, double gain)
+{
+    value = std::min(largest_value, (value + weight / effect_sizes.size()) * bounded_exp(gain));
+}
+
+void observe_paired(std::vector<double>& values, const interval_counts& interval, double tolerated)
+{
+    const double from = estimated_rate(values, tolerated);
+    const auto from_calls = static_cast<double>(interval.from_calls);
+    const auto from_hits = static_cast<double>(interval.from_hits);
+    const double to_calls = values[pending_to_calls];
+    const double to_hits = values[pending_to_hits];
+    for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
+    {
+        const rates bet{.from = from,
+                        .to = alternative_rate(from, tolerated, effect_sizes[effect])};
+        const rates null = project(bet, from_calls, to_calls, tolerated);
+        const double gain = log_ratio(from_calls, from_hits, bet.from, null.from) +
+                            log_ratio(to_calls, to_hits, bet.to, null.to);
+        multiply(values[paired + effect], values[pending_weight], gain);
+    }
+    values[pending_weight] = 0;
+    values[pending_to_calls] = 0;
+    values[pending_to_hits] = 0;
+}
+
+/** The highest rate that the old version's history explains. */
+double explained_rate(const std::vector<double>& values, double old_burst, double tolerated)
+{
+    const double usual = (values[rate_hits] + prior_hits) / (values[rate_calls] + prior_calls);
+    const double spread = std::sqrt(usual * (1 - usual) / (values[rate_calls] + prior_calls));
+    const double bursts = std::max(old_burst, values[worst_rate] - usual);
+    return std::min(highest_rate,
+                    usual + spread + burst_factor * bursts + tolerated + history_margin);
+}
+
+/** Compares the new version with the old one's history. Unlike the paired comparison it has power
+ * while the old version receives few calls, and it relies on a past that includes the noise. */
+void observe_history(std::vector<double>& values, const interval_counts& interval, double weight,
+                     double tolerated)
+{
+    const double null = explained_rate(values, interval.old_burst, tolerated);
+    const auto calls = static_cast<double>(interval.to_calls);
+    const auto hits = static_cast<double>(interval.to_hits);
+    for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
+    {
+        const double bet = alternative_rate(null, 0, effect_sizes[effect]);
+        const double gain = log_ratio(calls, hits, bet, null);
+        multiply(values[history + effect], weight, gain);
+    }
+}
+
+void learn_old_rate(std::vector<double>& values, double calls, double hits)
+{
+    values[recent_hits] = values[recent_hits] * recent_decay + hits;
+    values[recent_calls] = values[recent_calls] * recent_decay + calls;
+    values[rate_hits] = values[rate_hits] * rate_decay + hits;
+    values[rate_calls] = values[rate_calls] * rate_decay + calls;
+    values[period_hits] += hits;
+    values[period_calls] += calls;
+    if (values[period_calls] >= baseline_period_calls)
+    {
+        const double rate = values[period_hits] / values[period_calls];
+        // The lower bound: of many short periods the highest plain rate is mere chance.
+        const double spread = std::sqrt(rate * (1 - rate) / values[period_calls]);
+        values[worst_rate] = std::max(values[worst_rate], rate - 2 * spread);
+        values[period_hits] = 0;
+        values[period_calls] = 0;
+    }
+}
+
+void observe_sequential(test_state& state, const interval_counts& interval,
+                        const test_parameters& parameters)
+{
+    std::vector<double>& values = state.values;
+    values.resize(index_count, 0);
+    double weight = 0;
+    if (interval.to_calls > 0)
+    {
+        weight = start_weight(values, interval);
+        // Calls wait for the next interval in which there is something to compare them with.
+        values[pending_weight] += weight;
+        values[pending_to_calls] += static_cast<double>(interval.to_calls);
+        values[pending_to_hits] += static_cast<double>(interval.to_hits);
+    }
+    if (values[pending_to_calls] > 0 && interval.from_calls > 0)
+    {
+        observe_paired(values, interval, parameters.tolerated_increase);
+    }
+    // The paired bet must not know its own interval, but a burst that begins in this interval has
+    // to be known before the history can be asked whether it explains the new version's rate.
+    if (interval.from_calls > 0)
+    {
+        learn_old_rate(values, static_cast<double>(interval.from_calls),
+                       static_cast<double>(interval.from_hits));
+    }
+    if (interval.to_calls > 0)
+    {
+        observe_history(values, interval, weight, parameters.tolerated_increase);
+    }
+}
+
+double sum_of_bets(const std::vector<double>& values, std::size_t first)
+{
+    double sum = 0;
+    for (std::size_t effect = 0; effect < effect_sizes.size(); ++effect)
+    {
+        sum += values[first + effect];
+    }
+    return sum;
+}
+
+verdict judge_sequential(const test_state& state, const test_parameters& parameters)
+{
+    if (state.values.empty())
+    {
+        return {};
+    }
+    // The weight of beginnings that have not come yet stays at its value.
+    const double unused = 1 - state.values[weight_used];
+    const double paired_value =
+        sum_of_bets(state.values, paired) + unused + state.values[pending_weight];
+    const double history_value = sum_of_bets(state.values, history) + unused;
+    const double value = (1 - history_budget) * paired_value + history_budget * history_value;
+    const double threshold = 1 / parameters.error_probability;
+    return {.harmful = value >= threshold, .suspicious = value >= suspicion_fraction * threshold};
+}
+
+const registration<verdict_test> sequential("sequential", {.observe = observe_sequential,
+                                                           .judge = judge_sequential});
+
+} // namespace
+} // namespace sardinepoint
