Moves through real processes: evidence, aggregators, progress, outcomes

Cause: the decision functions for moves were not connected to the daemon. Change: each daemon counts attempts by route and version and reports totals once a second to two aggregators of its failure domain, picked by rendezvous hashing on the move's id; gateways pass domain sums to other domains; the first aggregator decides, progress travels through the broadcast tree and the digest exchange, and the outcome is appended to the log until it is folded.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -125,7 +125,8 @@
 
 } // namespace
 
-node::node() = default;
+node::node() : moves(std::make_unique<move_runtime>()) {}
+
 node::~node() = default;
 
 member_record describe_self(const node& self)
--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -189,7 +189,8 @@
                          .outcome = verdict.outcome,
                          .status = result.response.status,
                          .elapsed = elapsed,
-                         .crashed = result.crashed});
+                         .crashed = result.crashed,
+                         .fingerprint = call.fingerprint});
 }
 
 void finish_answered(node& self, std::uint64_t id, attempt_result result)
@@ -360,17 +361,16 @@
 
 std::optional<std::string> pick_version(node& self, const ingress_call& call)
 {
-    const auto service = self.config_replica.state.services.find(call.service);
-    if (service == self.config_replica.state.services.end())
+    auto split = split_of(self, call.service);
+    if (!split)
     {
         return std::nullopt;
     }
-    auto moved = share_of_move(self, call.service);
-    if (moved && call.avoid_new_version)
+    if (call.avoid_new_version)
     {
-        moved.reset();
+        split->moved.reset();
     }
-    return choose_version(service->second, moved, self.random);
+    return choose_version(split->service, split->moved, self.random);
 }
 
 void begin_attempt(node& self, std::uint64_t id)
--- /dev/null
+++ b/src/move_json.cpp
@@ -0,0 +1,88 @@
+#include "move_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t counters_per_route = 6;
+
+} // namespace
+
+json to_json(const evidence_totals& totals)
+{
+    json routes = json::object();
+    for (const auto& [name, counters] : totals)
+    {
+        routes[name] = {counters.from.calls, counters.from.failures, counters.from.slow,
+                        counters.to.calls,   counters.to.failures,   counters.to.slow};
+    }
+    return routes;
+}
+
+evidence_totals evidence_from_json(const json& value)
+{
+    evidence_totals totals;
+    if (!value.is_object())
+    {
+        return totals;
+    }
+    for (const auto& [name, counters] : value.items())
+    {
+        const bool valid =
+            counters.is_array() && counters.size() == counters_per_route &&
+            std::all_of(counters.begin(), counters.end(),
+                        [](const json& counter) { return counter.is_number_unsigned(); });
+        if (!valid)
+        {
+            continue;
+        }
+        const auto at = [&](std::size_t i)
+        {
+            return counters[i].get<std::uint64_t>();
+        };
+        totals[name] = {.from = {.calls = at(0), .failures = at(1), .slow = at(2)},
+                        .to = {.calls = at(3), .failures = at(4), .slow = at(5)}};
+    }
+    return totals;
+}
+
+json to_json(const move_progress& progress)
+{
+    return {{"step", progress.step},
+            {"withdrawn", progress.withdrawn},
+            {"done", progress.done},
+            {"reason", progress.reason}};
+}
+
+move_progress progress_from_json(const json& value)
+{
+    move_progress progress;
+    const auto step = value.find("step");
+    if (step != value.end() && step->is_number_integer())
+    {
+        progress.step = std::max(0, step->get<int>());
+    }
+    const auto flag = [&](const char* key)
+    {
+        const auto found = value.find(key);
+        return found != value.end() && found->is_boolean() && found->get<bool>();
+    };
+    progress.withdrawn = flag("withdrawn");
+    progress.done = flag("done");
+    const auto reason = value.find("reason");
+    if (reason != value.end() && reason->is_string())
+    {
+        progress.reason = reason->get<std::string>();
+    }
+    return progress;
+}
+
+} // namespace sardinepoint
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -2,8 +2,11 @@
 
 #include "node.hpp"
 
+#include "sardinepoint/move.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,9 +14,45 @@
 namespace sardinepoint
 {
 
-/** Moves under way as this daemon sees them. */
+/** A crashed attempt that is charged to its version unless the request crashes others too. */
+struct pending_crash
+{
+    std::string route;
+    bool on_new_version = false;
+    time_ms since = 0;
+};
+
+/** A move under way or under watch, as this daemon sees it. */
+struct tracked_move
+{
+    move_progress progress;
+    /** Wall clock at which the domain's aggregator last found the domain isolated. */
+    time_ms isolated_at = 0;
+
+    // What this daemon's own calls showed.
+    evidence_totals own;
+    evidence_totals reported;
+    std::map<std::string, slow_threshold> thresholds;
+    std::map<std::uint64_t, pending_crash> crashes;
+    std::uint64_t calls = 0;
+    std::uint64_t calls_at_tick = 0;
+    /** Calls a second of the service through this daemon, exponentially weighted. */
+    double call_rate = 0;
+    double mean_latency_ms = 0;
+
+    // What this daemon collects as aggregator or gateway.
+    move_evidence domain_evidence;
+    move_evidence domain_sums;
+    std::map<std::string, time_ms> domains_heard;
+    move_history history;
+    time_ms outcome_appended = 0;
+    std::string hold_reason;
+};
+
+/** All moves under way as this daemon sees them. */
 struct move_runtime
 {
+    std::map<std::string, tracked_move> moves;
 };
 
 /** How one attempt ended, as evidence for a move. */
@@ -26,9 +65,10 @@
     int status = 0;
     time_ms elapsed = 0;
     bool crashed = false;
+    std::uint64_t fingerprint = 0;
 };
 
-/** Counts an attempt if its service has a running move. */
+/** Counts an attempt if its service has a move under way. */
 void note_evidence(node& self, const attempt_evidence& attempt);
 
 /** Starts the periodic work for moves. */
@@ -41,13 +81,31 @@
 /** Called after each change of the folded configuration. */
 void config_changed(node& self);
 
+/** Shares of a service's versions in force now. */
+struct version_split
+{
+    service_config service;
+    std::optional<moved_share> moved;
+};
+
+/** Shares in force, or nothing if the service is unknown. */
+std::optional<version_split> split_of(const node& self, const std::string& service);
+
 /** Part of a service's calls that a running move sends to the new version. */
 std::optional<moved_share> share_of_move(const node& self, std::string_view service);
 
+/**
+ * Number of the new version's upstreams that are preferred while its share is small, so that
+ * faults under load show; empty if the version is not the new one of a move under way.
+ */
+std::optional<int> preferred_upstreams(const node& self, std::string_view service,
+                                       std::string_view version, int upstreams, int slots);
+
 nlohmann::json progress_json(const node& self, const std::string& move);
 nlohmann::json all_progress_json(const node& self);
 void merge_progress_list(node& self, const nlohmann::json& values);
 
+/** Sums of the own failure domain for the gateways of other domains. */
 nlohmann::json shared_evidence_json(const node& self);
 void merge_shared_evidence(node& self, const nlohmann::json& message);
 void merge_evidence_report(node& self, const nlohmann::json& message);
--- /dev/null
+++ b/test/move-process-test.cpp
@@ -0,0 +1,239 @@
+#define BOOST_TEST_MODULE move_process
+#include <boost/test/unit_test.hpp>
+
+#include "rig/mesh.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr time_ms start_limit_ms = 10000;
+constexpr time_ms move_time_ms = 14000;
+constexpr time_ms watch_ms = 4000;
+// Time that the log needs to take the outcome and the daemons to fold it.
+constexpr time_ms told_limit_ms = 3000;
+
+/** Idempotent calls to all daemons from a few threads until it is stopped. */
+class load
+{
+public:
+    explicit load(const rig::mesh& mesh)
+    {
+        constexpr int thread_count = 3;
+        for (int i = 0; i < thread_count; ++i)
+        {
+            this->threads.emplace_back([this, &mesh, i] { this->run(mesh, i); });
+        }
+    }
+
+    ~load()
+    {
+        this->finish();
+    }
+    load(const load&) = delete;
+    load& operator=(const load&) = delete;
+
+    void finish()
+    {
+        this->stopping = true;
+        for (std::thread& thread : this->threads)
+        {
+            if (thread.joinable())
+            {
+                thread.join();
+            }
+        }
+    }
+
+    /** Last time at which a call reached the version. */
+    time_ms last_call(const std::string& version)
+    {
+        const std::lock_guard lock(this->guard);
+        return this->last[version];
+    }
+
+    int calls = 0;
+    int failed = 0;
+
+private:
+    void run(const rig::mesh& mesh, int offset)
+    {
+        for (int i = offset; !this->stopping; ++i)
+        {
+            const rig::daemon_node& daemon =
+                mesh.daemons[static_cast<std::size_t>(i) % mesh.daemons.size()];
+            const http_result answer = rig::call(daemon.data, {.timeout = 2000}, "/duty/board");
+            const std::lock_guard lock(this->guard);
+            ++this->calls;
+            this->failed += answer.response.status == 200 ? 0 : 1;
+            if (const auto version = find_header(answer.response.headers, "Sardinepoint-Version"))
+            {
+                this->last[std::string(*version)] = wall_now();
+            }
+        }
+    }
+
+    std::atomic<bool> stopping = false;
+    std::mutex guard;
+    std::map<std::string, time_ms> last;
+    std::vector<std::thread> threads;
+};
+
+/** Two failure domains, each with two upstreams of v1 and one of v2 on VMs of their own. */
+struct two_versions
+{
+    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .name = "moves"}};
+
+    two_versions()
+    {
+        for (const std::string domain : {"callao", "miraflores"})
+        {
+            for (const std::string version : {"v1", "v1", "v2"})
+            {
+                const std::string id =
+                    "vm-" + domain + "-" + std::to_string(this->mesh.daemons.size());
+                rig::daemon_node& daemon = this->mesh.add_daemon(id, domain);
+                this->mesh.add_upstream(daemon, {.version = version, .work = 2});
+            }
+        }
+        BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+        BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 3, start_limit_ms));
+        const json accepted = this->mesh.submit(
+            this->mesh.daemons[0], 0, rig::service_operations("duty-board", "v1", "/duty"));
+        BOOST_REQUIRE(accepted["status"] == 200);
+        BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
+    }
+
+    /** Submits the move and returns its deadline. */
+    time_ms start_move()
+    {
+        const time_ms deadline = wall_now() + move_time_ms;
+        const json accepted = this->mesh.submit(this->mesh.daemons[0], 1,
+                                                {{{"op", "start_move"},
+                                                  {"id", "m1"},
+                                                  {"service", "duty-board"},
+                                                  {"from", "v1"},
+                                                  {"to", "v2"},
+                                                  {"deadline_ms", deadline},
+                                                  {"policy", {{"watch_ms", watch_ms}}}}});
+        BOOST_REQUIRE_MESSAGE(accepted["status"] == 200, accepted.dump());
+        return deadline;
+    }
+
+    /** What every daemon tells its operators about the move. */
+    bool told(const std::string& state)
+    {
+        for (const rig::daemon_node& daemon : this->mesh.daemons)
+        {
+            const json view = rig::get_json(daemon.control, "/v1/watch?move=m1");
+            if (!view.is_object() || view.value("state", "") != state)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void set_behaviour(const std::string& version, const json& behaviour)
+    {
+        for (const rig::upstream_node& upstream : this->mesh.upstreams)
+        {
+            if (upstream.arguments[1] == "--version=" + version)
+            {
+                rig::post_json(upstream.address, "/standin/behaviour", behaviour);
+            }
+        }
+    }
+};
+
+time_ms time_until(time_ms wall)
+{
+    return std::max<time_ms>(0, wall - wall_now());
+}
+
+} // namespace
+
+// Guards against good versions that miss their deadline and operators who aren't told.
+BOOST_FIXTURE_TEST_CASE(good_move_is_done_by_its_deadline, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    BOOST_TEST(
+        rig::wait_until(time_until(deadline) + told_limit_ms, [&] { return this->told("done"); }));
+    const json view = rig::get_json(this->mesh.daemons[0].control, "/v1/watch?move=m1");
+    BOOST_TEST_MESSAGE("done " << deadline - wall_now() << " ms before the deadline: " << view);
+    calls.finish();
+    BOOST_TEST(calls.failed == 0);
+    BOOST_TEST(calls.calls > 1000);
+    for (const rig::daemon_node& daemon : this->mesh.daemons)
+    {
+        const json config = rig::get_json(daemon.control, "/v1/config");
+        BOOST_TEST(config["services"][0]["versions"] == json({{"v2", 100}}));
+    }
+}
+
+// Guards against a bad version that stays in service, and against callers who notice it.
+BOOST_FIXTURE_TEST_CASE(bad_version_is_withdrawn_and_told, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    this->set_behaviour("v2", {{"failure_rate", 0.5}});
+    BOOST_TEST(rig::wait_until(time_until(deadline), [&] { return this->told("withdrawn"); }));
+    const time_ms withdrawn = wall_now();
+    const json view = rig::get_json(this->mesh.daemons[0].control, "/v1/watch?move=m1");
+    BOOST_TEST_MESSAGE("withdrawn " << deadline - withdrawn << " ms before the deadline: " << view);
+    BOOST_TEST(!view["reason"].get<std::string>().empty());
+    constexpr time_ms longest_tail_ms = 2000;
+    rig::pause(longest_tail_ms + 1000);
+    BOOST_TEST(calls.last_call("v2") < withdrawn + longest_tail_ms);
+    calls.finish();
+    BOOST_TEST_MESSAGE(calls.failed << " of " << calls.calls << " calls failed");
+}
+
+// Guards against outcomes that depend on the log while it is out.
+BOOST_FIXTURE_TEST_CASE(good_move_with_the_log_out_is_done_and_told_afterwards, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    BOOST_REQUIRE(this->mesh.wait_version(2, start_limit_ms));
+    this->mesh.set_log_faults({{"mode", "refuse"}});
+    // All traffic has moved when v1 gets no calls any more.
+    constexpr time_ms quiet_ms = 1500;
+    BOOST_TEST(rig::wait_until(time_until(deadline),
+                               [&] { return wall_now() - calls.last_call("v1") > quiet_ms; }));
+    this->mesh.set_log_faults({{"mode", "up"}});
+    BOOST_TEST(rig::wait_until(2 * told_limit_ms, [&] { return this->told("done"); }));
+    calls.finish();
+    BOOST_TEST(calls.failed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(bad_version_is_withdrawn_with_the_log_out, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    BOOST_REQUIRE(this->mesh.wait_version(2, start_limit_ms));
+    this->mesh.set_log_faults({{"mode", "stall"}});
+    this->set_behaviour("v2", {{"slow_factor", 40}});
+    BOOST_TEST(rig::wait_until(time_until(deadline), [&] { return this->told("withdrawn"); }));
+    const time_ms withdrawn = wall_now();
+    this->mesh.set_log_faults({{"mode", "up"}});
+    BOOST_TEST(rig::wait_until(4 * told_limit_ms,
+                               [&]
+                               {
+                                   const json config =
+                                       rig::get_json(this->mesh.daemons[0].control, "/v1/config");
+                                   return config.is_object() &&
+                                          config["moves"][0]["state"] == "withdrawn";
+                               }));
+    constexpr time_ms longest_tail_ms = 2000;
+    BOOST_TEST(calls.last_call("v2") < withdrawn + longest_tail_ms);
+    calls.finish();
+}
