Capture a structured binding explicitly

Cause: the linter's compiler rejects the implicit capture of a structured binding. Change: the lambda names what it captures.

--- a/src/move_json.cpp
+++ b/src/move_json.cpp
@@ -44,7 +44,7 @@
         {
             continue;
         }
-        const auto at = [&](std::size_t i)
+        const auto at = [&routes = counters](std::size_t i)
         {
             return counters[i].get<std::uint64_t>();
         };
