Do not pair calls while the proxies change to 100%

Change: once the share is 100% only the comparison with the history counts. Conclusion: a fault in the last seconds of a noisy service stays missed.

--- a/src/move.cpp
+++ b/src/move.cpp
@@ -26,7 +26,7 @@
     // shows at any time before it has met less than 5%. The old version keeps half of the calls
     // until the end: at a share of 95% too few of its calls are left to compare with.
     return {
-        {.share = 2, .start_fraction = 0},      {.share = 8, .start_fraction = 0.93},
+        {.share = 2, .start_fraction = 0},       {.share = 8, .start_fraction = 0.93},
         {.share = 25, .start_fraction = 0.9425}, {.share = 50, .start_fraction = 0.955},
         {.share = 100, .start_fraction = 1},
     };
--- a/src/verdict_sequential.cpp
+++ b/src/verdict_sequential.cpp
@@ -260,7 +260,10 @@
         values[pending_to_calls] += static_cast<double>(interval.to_calls);
         values[pending_to_hits] += static_cast<double>(interval.to_hits);
     }
-    if (values[pending_to_calls] > 0 && interval.from_calls > 0)
+    // Around the end the proxies change to a share of 100% one after the other. The old calls of
+    // such an interval are earlier than the new ones, and a burst between them would be blamed on
+    // the new version.
+    if (!interval.lone && values[pending_to_calls] > 0 && interval.from_calls > 0)
     {
         observe_paired(values, interval, parameters.tolerated_increase);
     }
