Satisfy the linter in the move bench and tests

Cause: check.sh reports widening multiplications and an integer division. Change: time_ms arithmetic; reserve. Measured: move-test passes. Conclusion: behaviour is unchanged.

--- a/support/move_bench.hpp
+++ b/support/move_bench.hpp
@@ -221,7 +221,7 @@
 /** Time after which a daemon notices that it reaches no other failure domain. */
 inline constexpr time_ms isolation_delay = 1'000;
 /** Shares within a tick are the mean of this many moments. */
-inline constexpr int moments = 4;
+inline constexpr time_ms moments = 4;
 inline constexpr std::size_t domains = 3;
 inline constexpr std::size_t route_count = 3;
 inline constexpr std::array<const char*, route_count> route_names{"board", "entries", "search"};
@@ -524,9 +524,9 @@
     const bool cut_off = &source == &run.proxies.back();
     double sum = 0;
     double late = 0;
-    for (int moment = 0; moment < moments; ++moment)
+    for (time_ms moment = 0; moment < moments; ++moment)
     {
-        const time_ms time = now + (2 * moment + 1) * tick / (2 * moments);
+        const time_ms time = now + tick * (2 * moment + 1) / (2 * moments);
         receive_progress(source.progress, source.inbox, time);
         const bool isolated = cut_off && notices_partition(run, time);
         const double share = isolated ? isolated_share_at(run.spec, source.progress, time)
@@ -541,7 +541,7 @@
             late += share;
         }
     }
-    return {.share = sum / moments, .late_part = sum > 0 ? late / sum : 0};
+    return {.share = sum / static_cast<double>(moments), .late_part = sum > 0 ? late / sum : 0};
 }
 
 /** Load of the new version's preferred upstreams. */
--- a/test/move-test.cpp
+++ b/test/move-test.cpp
@@ -212,7 +212,8 @@
     for (time_ms now = 0; now < spec.deadline; now += 1'000)
     {
         calls += share_at(spec, {.step = 4}, now);
-        BOOST_TEST(calls <= 5.0 * static_cast<double>(now / 1'000 + 1));
+        const time_ms seconds = now / 1'000 + 1;
+        BOOST_TEST(calls <= 5.0 * static_cast<double>(seconds));
     }
 }
 
@@ -273,7 +274,7 @@
 BOOST_AUTO_TEST_CASE(slow_threshold_follows_the_old_version)
 {
     slow_threshold state;
-    for (int second = 0; second < 120; ++second)
+    for (time_ms second = 0; second < 120; ++second)
     {
         for (int call = 0; call < 10; ++call)
         {
@@ -571,6 +572,7 @@
         const auto results = bench::run_kind(3, bench::gated_strategy(),
                                              {.seed = 7, .cases = 10, .threads = threads});
         std::vector<std::uint64_t> values;
+        values.reserve(results.size());
         for (const bench::case_result& result : results)
         {
             values.push_back(result.new_before + result.new_after);
