--- a/src/move.cpp
+++ b/src/move.cpp
@@ -22,7 +22,7 @@
 
 std::vector<move_step> default_steps()
 {
-    // In sum the new version receives 4.2% of all calls up to the deadline, so that a fault that
+    // In sum the new version receives 4.5% of all calls up to the deadline, so that a fault that
     // shows at any time before it has met less than 5%. The old version keeps half of the calls
     // until the end: at a share of 95% too few of its calls are left to compare with.
     return {
