Few upstreams of a new version at full load; moves under kills and partitions

Cause: a fault that shows only under load stays hidden while a small share is spread over all upstreams of the new version. Change: daemons of a failure domain prefer the same few upstreams of the new version, as many as its share fills; full or tried ones give way to the others.

--- a/src/endpoints.cpp
+++ b/src/endpoints.cpp
@@ -1,5 +1,7 @@
 #include "endpoints.hpp"
 
+#include "move_runtime.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -96,16 +98,88 @@
     return group;
 }
 
-/** Candidates of the own failure domain only, with their positions in the group. */
-std::vector<endpoint_candidate> own_candidates(const node& self, const endpoint_group& group)
+/** Part of a group's candidates with their positions in the group. */
+struct candidate_subset
+{
+    std::vector<endpoint_candidate> candidates;
+    std::vector<std::size_t> positions;
+};
+
+void add_position(candidate_subset& subset, const endpoint_group& group, std::size_t position)
+{
+    subset.candidates.push_back(group.candidates[position]);
+    subset.positions.push_back(position);
+}
+
+std::vector<std::size_t> own_positions(const node& self, const endpoint_group& group)
 {
-    std::vector<endpoint_candidate> own;
-    std::copy_if(group.candidates.begin(), group.candidates.end(), std::back_inserter(own),
-                 [&](const endpoint_candidate& candidate)
-                 { return candidate.domain == self.config.domain; });
+    std::vector<std::size_t> own;
+    for (std::size_t i = 0; i < group.candidates.size(); ++i)
+    {
+        if (group.candidates[i].domain == self.config.domain)
+        {
+            own.push_back(i);
+        }
+    }
     return own;
 }
 
+bool is_full(const endpoint_candidate& candidate, time_ms now)
+{
+    return candidate.in_flight >= candidate.slots || now < candidate.full_until;
+}
+
+/**
+ * The few upstreams of a new version that get its calls while its share is small, so that they
+ * work at full load and faults under load show. Empty if there is no restriction, and when the
+ * preferred ones are full or were tried.
+ */
+candidate_subset preferred_subset(const node& self, const std::string& service,
+                                  const std::string& version, const endpoint_group& group,
+                                  const endpoint_wish& wish, time_ms now)
+{
+    candidate_subset subset;
+    std::vector<std::size_t> own = own_positions(self, group);
+    if (own.empty())
+    {
+        return subset;
+    }
+    const auto count = preferred_upstreams(self, service, version, static_cast<int>(own.size()),
+                                           group.candidates[own.front()].slots);
+    if (!count || *count <= 0 || static_cast<std::size_t>(*count) >= own.size())
+    {
+        return subset;
+    }
+    // All daemons of the failure domain prefer the same ones.
+    const auto rank = [&](std::size_t position)
+    {
+        return detail::hash_of(service + "/" + version + "/" + group.candidates[position].member);
+    };
+    std::sort(own.begin(), own.end(),
+              [&](std::size_t left, std::size_t right) { return rank(left) < rank(right); });
+    for (std::size_t i = 0; i < static_cast<std::size_t>(*count); ++i)
+    {
+        const endpoint_candidate& candidate = group.candidates[own[i]];
+        const bool tried =
+            std::find(wish.tried.begin(), wish.tried.end(), candidate.member) != wish.tried.end();
+        if (!tried && !is_full(candidate, now) && now >= candidate.ejected_until)
+        {
+            add_position(subset, group, own[i]);
+        }
+    }
+    return subset;
+}
+
+candidate_subset own_subset(const node& self, const endpoint_group& group)
+{
+    candidate_subset subset;
+    for (const std::size_t position : own_positions(self, group))
+    {
+        add_position(subset, group, position);
+    }
+    return subset;
+}
+
 } // namespace
 
 endpoint_pick pick_endpoint(node& self, const std::string& service, const std::string& version,
@@ -115,11 +189,14 @@
     const choice_request request{
         .domain = self.config.domain, .tried = wish.tried, .may_test = wish.may_test};
     const time_ms now = steady_now();
-    // Own candidates come first in the group, so positions agree.
-    const std::vector<endpoint_candidate> own =
-        wish.allow_spill ? std::vector<endpoint_candidate>{} : own_candidates(self, group);
+    candidate_subset subset = preferred_subset(self, service, version, group, wish, now);
+    if (subset.candidates.empty() && !wish.allow_spill)
+    {
+        subset = own_subset(self, group);
+    }
+    const bool restricted = !subset.candidates.empty() || !wish.allow_spill;
     const std::span<const endpoint_candidate> candidates =
-        wish.allow_spill ? std::span<const endpoint_candidate>(group.candidates) : own;
+        restricted ? subset.candidates : group.candidates;
     const endpoint_choice choice =
         choose_endpoint(candidates, request, self.balancing, self.spill, now, self.random);
     endpoint_pick pick{.target = std::nullopt, .reason = choice.reason};
@@ -127,9 +204,10 @@
     {
         return pick;
     }
-    endpoint_candidate& chosen = group.candidates[*choice.index];
+    const std::size_t position = restricted ? subset.positions[*choice.index] : *choice.index;
+    endpoint_candidate& chosen = group.candidates[position];
     note_started(chosen, now);
-    pick.target = endpoint_ref{chosen.member, group.addresses[*choice.index]};
+    pick.target = endpoint_ref{chosen.member, group.addresses[position]};
     pick.spill = chosen.domain != self.config.domain;
     return pick;
 }
--- a/src/move_json.cpp
+++ b/src/move_json.cpp
@@ -46,7 +46,7 @@
         }
         const auto at = [&routes = counters](std::size_t i)
         {
-            return counters[i].get<std::uint64_t>();
+            return routes[i].get<std::uint64_t>();
         };
         totals[name] = {.from = {.calls = at(0), .failures = at(1), .slow = at(2)},
                         .to = {.calls = at(3), .failures = at(4), .slow = at(5)}};
--- a/test/move-process-test.cpp
+++ b/test/move-process-test.cpp
@@ -3,7 +3,11 @@
 
 #include "rig/mesh.hpp"
 
+#include "sardinepoint/membership.hpp"
+
+#include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <map>
 #include <mutex>
 #include <string>
@@ -87,10 +91,30 @@
     std::vector<std::thread> threads;
 };
 
+/** Ids of the daemons that aggregate the move's evidence in a failure domain, the first one first.
+ */
+std::vector<std::string> aggregators(const rig::mesh& mesh, const std::string& domain)
+{
+    std::vector<std::string_view> ids;
+    for (const rig::daemon_node& daemon : mesh.daemons)
+    {
+        if (daemon.domain == domain)
+        {
+            ids.push_back(daemon.id);
+        }
+    }
+    std::vector<std::string> picked;
+    for (const std::string_view id : rendezvous_pick(ids, "move/m1", 2))
+    {
+        picked.emplace_back(id);
+    }
+    return picked;
+}
+
 /** Two failure domains, each with two upstreams of v1 and one of v2 on VMs of their own. */
 struct two_versions
 {
-    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .name = "moves"}};
+    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .relayed = true, .name = "moves"}};
 
     two_versions()
     {
@@ -237,3 +261,45 @@
     BOOST_TEST(calls.last_call("v2") < withdrawn + longest_tail_ms);
     calls.finish();
 }
+
+// Guards against decisions that stop when the daemon that made them dies.
+BOOST_FIXTURE_TEST_CASE(move_goes_on_when_the_aggregators_die, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    BOOST_REQUIRE(this->mesh.wait_version(2, start_limit_ms));
+    for (rig::daemon_node& daemon : this->mesh.daemons)
+    {
+        if (daemon.id == aggregators(this->mesh, daemon.domain).front())
+        {
+            daemon.running->signal(SIGKILL);
+            daemon.running->wait();
+            this->mesh.restart(daemon);
+        }
+    }
+    BOOST_TEST(
+        rig::wait_until(time_until(deadline) + told_limit_ms, [&] { return this->told("done"); }));
+    calls.finish();
+}
+
+// Guards against a failure domain that keeps a bad version because it can't hear the others,
+// and against a withdrawal that is lost when the cut heals.
+BOOST_FIXTURE_TEST_CASE(cut_off_domain_withdraws_on_its_own_evidence, two_versions)
+{
+    load calls(this->mesh);
+    const time_ms deadline = this->start_move();
+    BOOST_REQUIRE(this->mesh.wait_version(2, start_limit_ms));
+    this->mesh.isolate("miraflores", true);
+    this->set_behaviour("v2", {{"failure_rate", 0.5}});
+    BOOST_TEST(rig::wait_until(time_until(deadline), [&] { return this->told("withdrawn"); }));
+    this->mesh.set_cuts({});
+    const auto folded = [](const rig::daemon_node& daemon)
+    {
+        const json config = rig::get_json(daemon.control, "/v1/config");
+        return config.is_object() && config["moves"][0]["state"] == "withdrawn";
+    };
+    BOOST_TEST(rig::wait_until(
+        2 * told_limit_ms,
+        [&] { return std::all_of(this->mesh.daemons.begin(), this->mesh.daemons.end(), folded); }));
+    calls.finish();
+}
