Split the exchanges between daemons into modules of one job each

Change: broadcast (outbox and tree push), sync (digest exchange), member_exchange (member records), gateways (summaries between failure domains), contacts (finding peers), probing (failure detector I/O), peer_messages (sending and reading fields). peering keeps the timers and the dispatch of requests, and its header includes broadcast.hpp and peer_messages.hpp, so users of the declared functions need no change. Conclusion: no change of behaviour; whole-path-test passes.

--- /dev/null
+++ b/src/broadcast.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "node.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace sardinepoint
+{
+
+/** Sends what is in the outbox through the broadcast tree shortly. */
+void schedule_flush(node& self);
+
+/** Queues the member's record for the broadcast tree. */
+void spread_member(node& self, std::string_view id);
+
+/** Queues a crash entry for the broadcast tree. */
+void spread_crash(node& self, std::uint64_t fingerprint);
+
+/** Queues a move's progress for the broadcast tree. */
+void spread_move(node& self, const std::string& move);
+
+/** Tells the failure domain at once that this daemon leaves. */
+void announce_leaving(node& self);
+
+/** Forwards a broadcast to this daemon's children in the root's tree and merges its content. */
+void handle_push(node& self, const nlohmann::json& body);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/contacts.cpp
@@ -0,0 +1,145 @@
+#include "contacts.hpp"
+
+#include "gateways.hpp"
+#include "peer_messages.hpp"
+#include "sync.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_ms announce_retry_ms = 1000;
+constexpr int newest_contacts = 64;
+constexpr std::size_t joined_contacts = 3;
+
+bool alone_in_domain(const node& self)
+{
+    return live_ids(self.members, self.config.domain).size() <= 1;
+}
+
+void join_domain(node& self)
+{
+    std::size_t asked = 0;
+    for (peer_contact* contact : contacts_of(self, self.config.domain))
+    {
+        if (asked++ >= joined_contacts)
+        {
+            break;
+        }
+        const std::string id = contact->id;
+        sync_with(self, contact->control,
+                  [&self, id](bool ok) { self.contacts[id].failures += ok ? 0 : 1; });
+    }
+}
+
+void read_contacts(node& self)
+{
+    self.contacts_read = steady_now();
+    read_newest(self.log, member_stream, newest_contacts,
+                [&self](const read_result& result)
+                {
+                    for (const log_record& record : result.records)
+                    {
+                        const json body = json::parse(record.body, nullptr, false);
+                        if (body.is_object())
+                        {
+                            add_contact(self, text_in(body, "id"), text_in(body, "domain"),
+                                        text_in(body, "control"));
+                        }
+                    }
+                    join_domain(self);
+                });
+}
+
+} // namespace
+
+void add_contact(node& self, const std::string& id, const std::string& domain,
+                 const std::string& control)
+{
+    const auto parsed = parse_endpoint(control);
+    if (!parsed || id.empty() || id == self.config.id)
+    {
+        return;
+    }
+    peer_contact& contact = self.contacts[id];
+    const bool moved = to_string(contact.control) != control;
+    contact.id = id;
+    contact.domain = domain;
+    contact.control = *parsed;
+    if (moved)
+    {
+        contact.failures = 0;
+        contact.summary_sent = 0;
+    }
+}
+
+/** Contacts of a domain, the most reliable first. */
+std::vector<peer_contact*> contacts_of(node& self, const std::string& domain)
+{
+    std::vector<peer_contact*> found;
+    for (auto& [id, contact] : self.contacts)
+    {
+        if (contact.domain == domain)
+        {
+            found.push_back(&contact);
+        }
+    }
+    std::shuffle(found.begin(), found.end(), self.random);
+    std::stable_sort(found.begin(), found.end(),
+                     [](const peer_contact* left, const peer_contact* right)
+                     { return left->failures < right->failures; });
+    return found;
+}
+
+void join_seeds(node& self)
+{
+    for (const endpoint& seed : self.config.seeds)
+    {
+        if (to_string(seed) != to_string(own_control_endpoint(self)))
+        {
+            sync_with(self, seed, {});
+        }
+    }
+}
+
+void announce_contact(node& self)
+{
+    const json body{{"id", self.config.id},
+                    {"domain", self.config.domain},
+                    {"control", to_string(own_control_endpoint(self))}};
+    append_record(self.log, member_stream, body.dump(),
+                  [&self](const append_result& result)
+                  {
+                      if (result.outcome == append_outcome::refused)
+                      {
+                          const time_ms delay =
+                              announce_retry_ms + std::uniform_int_distribution<time_ms>(
+                                                      0, announce_retry_ms)(self.random);
+                          run_after(*self.loop, delay, [&self] { announce_contact(self); });
+                      }
+                      read_contacts(self);
+                  });
+}
+
+void find_peers(node& self)
+{
+    const bool lost_domain =
+        std::any_of(self.contacts.begin(), self.contacts.end(),
+                    [](const auto& entry) { return entry.second.failures > 2; });
+    if (!alone_in_domain(self) && !(lost_domain && is_gateway(self)) && self.config_replica.ready)
+    {
+        return;
+    }
+    read_contacts(self);
+    join_seeds(self);
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/contacts.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "node.hpp"
+
+#include <string>
+#include <vector>
+
+namespace sardinepoint
+{
+
+/** Notes where a daemon can be reached; an empty id or an invalid endpoint is ignored. */
+void add_contact(node& self, const std::string& id, const std::string& domain,
+                 const std::string& control);
+
+/** Contacts of a domain, the most reliable first. */
+std::vector<peer_contact*> contacts_of(node& self, const std::string& domain);
+
+/** Exchanges digests with the configured seeds. */
+void join_seeds(node& self);
+
+/** Appends this daemon's control endpoint to the log and reads those of others. */
+void announce_contact(node& self);
+
+/** Looks for contacts if this daemon lacks peers. */
+void find_peers(node& self);
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/gateways.cpp
@@ -0,0 +1,175 @@
+#include "gateways.hpp"
+
+#include "broadcast.hpp"
+#include "contacts.hpp"
+#include "move_runtime.hpp"
+#include "peer_messages.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t gateways_per_domain = 2;
+
+json summary_message(node& self, const json& summary, std::uint64_t version)
+{
+    json body = records_since(self, self.config_replica.state.next_offset);
+    body["id"] = self.config.id;
+    body["domain"] = self.config.domain;
+    body["control"] = to_string(own_control_endpoint(self));
+    body["have"] = self.config_replica.state.next_offset;
+    body["version"] = version;
+    body["summary"] = summary;
+    body["moves"] = all_progress_json(self);
+    body["evidence"] = shared_evidence_json(self);
+    return body;
+}
+
+void take_summary_message(node& self, const json& body)
+{
+    if (body.contains("summary") && body["summary"].is_object())
+    {
+        const std::string domain = text_in(body, "domain");
+        const std::uint64_t before = self.domains[domain].version;
+        merge_domain(self, body["summary"], text_in(body, "id"));
+        if (self.domains[domain].version != before)
+        {
+            self.pending.domains.insert(domain);
+            schedule_flush(self);
+        }
+    }
+    apply_records_message(self, body, text_in(body, "id"));
+    merge_progress_list(self, array_in(body, "moves"));
+    merge_shared_evidence(self, body);
+}
+
+void send_summary(node& self, peer_contact& contact, const json& summary, std::uint64_t version)
+{
+    json body = summary_message(self, summary, version);
+    if (contact.summary_sent == version)
+    {
+        body.erase("summary");
+    }
+    const std::string id = contact.id;
+    send_peer(self, contact.control, "/peer/v1/summary", body, sync_timeout_ms,
+              [&self, id, version](const json* answer)
+              {
+                  peer_contact& target = self.contacts[id];
+                  target.failures = answer == nullptr ? target.failures + 1 : 0;
+                  if (answer == nullptr)
+                  {
+                      target.summary_sent = 0;
+                      return;
+                  }
+                  target.summary_sent = answer->value("want", false) ? 0 : version;
+                  take_summary_message(self, *answer);
+              });
+}
+
+} // namespace
+
+bool is_gateway(const node& self)
+{
+    const auto ids = alive_ids(self.members, self.config.domain);
+    const auto picked = rendezvous_pick(ids, "gateway", gateways_per_domain);
+    return std::find(picked.begin(), picked.end(), self.config.id) != picked.end();
+}
+
+void merge_domain(node& self, const json& value, std::string_view source)
+{
+    error reason;
+    auto summary = summary_from_json(value, reason);
+    if (!summary || summary->domain == self.config.domain)
+    {
+        return;
+    }
+    const std::uint64_t version = hash_json(to_json(*summary));
+    remote_domain& known = self.domains[summary->domain];
+    known.received = steady_now();
+    if (known.version == version)
+    {
+        return;
+    }
+    log_event(log_level::info, "domain_summary",
+              {{"domain", summary->domain},
+               {"services", static_cast<std::uint64_t>(summary->services.size())},
+               {"source", source}});
+    known.version = version;
+    known.summary = std::move(*summary);
+    ++self.domains_revision;
+}
+
+json domain_versions(const node& self)
+{
+    json versions = json::object();
+    for (const auto& [domain, known] : self.domains)
+    {
+        versions[domain] = known.version;
+    }
+    return versions;
+}
+
+json newer_domains(const node& self, const json& versions)
+{
+    json all = json::array();
+    for (const auto& [domain, known] : self.domains)
+    {
+        if (counter_in(versions, domain.c_str()) != known.version)
+        {
+            all.push_back(to_json(known.summary));
+        }
+    }
+    return all;
+}
+
+void exchange_summaries(node& self)
+{
+    if (!is_gateway(self) || self.leaving)
+    {
+        return;
+    }
+    std::set<std::string> foreign;
+    for (const auto& [id, contact] : self.contacts)
+    {
+        if (contact.domain != self.config.domain)
+        {
+            foreign.insert(contact.domain);
+        }
+    }
+    const json summary = to_json(summarise_domain(self.members, self.config.domain));
+    const std::uint64_t version = hash_json(summary);
+    for (const std::string& domain : foreign)
+    {
+        send_summary(self, *contacts_of(self, domain).front(), summary, version);
+    }
+}
+
+json handle_summary(node& self, const json& body)
+{
+    const std::string domain = text_in(body, "domain");
+    add_contact(self, text_in(body, "id"), domain, text_in(body, "control"));
+    take_summary_message(self, body);
+    json answer = records_since(self, counter_in(body, "have"));
+    const json summary = to_json(summarise_domain(self.members, self.config.domain));
+    answer["id"] = self.config.id;
+    answer["domain"] = self.config.domain;
+    answer["moves"] = all_progress_json(self);
+    answer["evidence"] = shared_evidence_json(self);
+    answer["want"] = self.domains[domain].version != counter_in(body, "version");
+    return answer;
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/member_exchange.cpp
@@ -0,0 +1,118 @@
+#include "member_exchange.hpp"
+
+#include "broadcast.hpp"
+#include "peer_messages.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+void merge_record(node& self, const json& value)
+{
+    error reason;
+    const auto record = member_from_json(value, reason);
+    if (!record)
+    {
+        log_event(log_level::warning, "member_rejected", {{"reason", describe(reason)}});
+        return;
+    }
+    if (record->domain != self.config.domain)
+    {
+        return;
+    }
+    const member_entry* before = find_member(self.members, record->id);
+    const member_state old_state = before == nullptr ? member_state::dead : before->record.state;
+    const merge_result result = merge_member(self.members, *record, steady_now());
+    if (result.refutation_due)
+    {
+        refute(self.members, steady_now());
+        spread_member(self, self.config.id);
+    }
+    if (result.changed && old_state != record->state)
+    {
+        log_event(log_level::info, "member_changed",
+                  {{"member", record->id}, {"state", static_cast<int>(record->state)}});
+    }
+    note_peer_offset(self, record->served_offset);
+}
+
+/** Sends the peer the records of the buckets in which the tables differ. */
+void send_bucket_records(node& self, const endpoint& peer, const json& answer)
+{
+    std::vector<std::size_t> buckets;
+    for (const json& value : array_in(answer, "buckets"))
+    {
+        if (value.is_number_unsigned() && value.get<std::size_t>() < digest_buckets)
+        {
+            buckets.push_back(value.get<std::size_t>());
+        }
+    }
+    json body{{"id", self.config.id}, {"members", json::array()}};
+    for (const member_record* record : entries_in(self.members, buckets))
+    {
+        body["members"].push_back(to_json(*record));
+    }
+    send_peer(self, peer, "/peer/v1/members", body, sync_timeout_ms, {});
+}
+
+} // namespace
+
+void merge_members(node& self, const json& body)
+{
+    for (const json& value : array_in(body, "members"))
+    {
+        merge_record(self, value);
+    }
+}
+
+/** Merges the peer's members and answers with the records of buckets that differ. */
+json handle_members(node& self, const json& body)
+{
+    merge_members(self, body);
+    const auto found = body.find("digest");
+    if (found == body.end())
+    {
+        return json::object();
+    }
+    error reason;
+    const auto theirs = digest_from_json(*found, reason);
+    if (!theirs)
+    {
+        return json::object();
+    }
+    const auto buckets = differing_buckets(make_digest(self.members), *theirs);
+    json answer{{"buckets", buckets}, {"members", json::array()}};
+    for (const member_record* record : entries_in(self.members, buckets))
+    {
+        answer["members"].push_back(to_json(*record));
+    }
+    return answer;
+}
+
+void exchange_members(node& self, const endpoint& peer)
+{
+    const json body{{"id", self.config.id}, {"digest", to_json(make_digest(self.members), true)}};
+    send_peer(self, peer, "/peer/v1/members", body, sync_timeout_ms,
+              [&self, peer](const json* answer)
+              {
+                  if (answer != nullptr)
+                  {
+                      merge_members(self, *answer);
+                      send_bucket_records(self, peer, *answer);
+                  }
+              });
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/probing.cpp
@@ -0,0 +1,113 @@
+#include "probing.hpp"
+
+#include "broadcast.hpp"
+#include "peer_messages.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+void note_probe_answer(node& self, const std::string& target, const std::string& via)
+{
+    if (!on_probe_answer(self.detector, self.members, target, via, steady_now()))
+    {
+        return;
+    }
+    if (const member_entry* entry = find_member(self.members, target))
+    {
+        const json body{{"id", self.config.id}, {"members", {to_json(entry->record)}}};
+        send_peer(self, control_endpoint(entry->record), "/peer/v1/members", body, sync_timeout_ms,
+                  {});
+    }
+}
+
+void send_probe(node& self, const detector_action& action)
+{
+    const bool direct = action.via.empty();
+    const member_entry* peer = find_member(self.members, direct ? action.target : action.via);
+    if (peer == nullptr)
+    {
+        return;
+    }
+    json body{{"id", self.config.id}};
+    if (!direct)
+    {
+        body["target"] = action.target;
+    }
+    const time_ms timeout = direct ? self.detector.options.direct_timeout_ms
+                                   : self.detector.options.indirect_timeout_ms;
+    send_peer(self, control_endpoint(peer->record),
+              direct ? "/peer/v1/probe" : "/peer/v1/probe-via", body, timeout,
+              [&self, target = action.target, via = action.via](const json* answer)
+              {
+                  if (answer == nullptr)
+                  {
+                      return;
+                  }
+                  if (via.empty() || answer->value("ok", false))
+                  {
+                      note_probe_answer(self, target, via);
+                  }
+              });
+}
+
+} // namespace
+
+void answer_probe_via(node& self, const json& body,
+                      const std::function<void(http_response)>& answer)
+{
+    const member_entry* target = find_member(self.members, text_in(body, "target"));
+    if (target == nullptr)
+    {
+        answer(json_response(200, R"({"ok":false})"));
+        return;
+    }
+    send_peer(self, control_endpoint(target->record), "/peer/v1/probe", {{"id", self.config.id}},
+              self.detector.options.direct_timeout_ms,
+              [answer](const json* reply)
+              {
+                  const json result{{"ok", reply != nullptr}};
+                  answer(json_response(200, result.dump()));
+              });
+}
+
+void run_detector(node& self)
+{
+    for (const detector_action& action :
+         detector_tick(self.detector, self.members, steady_now(), self.random))
+    {
+        switch (action.kind)
+        {
+        case detector_action_kind::send_probe:
+        case detector_action_kind::send_indirect_probe:
+            send_probe(self, action);
+            break;
+        case detector_action_kind::announce_self:
+            refute(self.members, steady_now());
+            spread_member(self, self.config.id);
+            break;
+        case detector_action_kind::mark_suspect:
+        case detector_action_kind::mark_dead:
+        case detector_action_kind::presume_lost:
+            log_event(log_level::info, "member_verdict",
+                      {{"member", action.target}, {"verdict", static_cast<int>(action.kind)}});
+            if (const member_record* record = apply_action(self.members, action, steady_now()))
+            {
+                spread_member(self, record->id);
+            }
+            break;
+        }
+    }
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/sync.cpp
@@ -0,0 +1,100 @@
+#include "sync.hpp"
+
+#include "crash_json.hpp"
+#include "gateways.hpp"
+#include "member_exchange.hpp"
+#include "move_runtime.hpp"
+#include "peer_messages.hpp"
+#include "replica.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json crashes_json(const node& self)
+{
+    json all = json::array();
+    for (const auto& [fingerprint, entry] : self.quarantine.entries)
+    {
+        all.push_back(to_json(entry));
+    }
+    return all;
+}
+
+} // namespace
+
+void merge_crashes(node& self, const json& body)
+{
+    for (const json& value : array_in(body, "crashes"))
+    {
+        if (const auto entry = crash_from_json(value))
+        {
+            merge_crash(self.quarantine, *entry, wall_now());
+        }
+    }
+}
+
+json handle_sync(node& self, const json& body)
+{
+    merge_crashes(self, body);
+    merge_progress_list(self, array_in(body, "moves"));
+    json answer = records_since(self, counter_in(body, "next"));
+    answer["digest"] = make_digest(self.members).root;
+    answer["moves"] = all_progress_json(self);
+    answer["crashes"] = crashes_json(self);
+    const auto versions = body.find("domains");
+    answer["domains"] = newer_domains(self, versions != body.end() ? *versions : json::object());
+    return answer;
+}
+
+void sync_with(node& self, const endpoint& peer, std::function<void(bool)> done)
+{
+    const json body{{"id", self.config.id},
+                    {"next", self.config_replica.state.next_offset},
+                    {"moves", all_progress_json(self)},
+                    {"crashes", crashes_json(self)},
+                    {"domains", domain_versions(self)}};
+    count(self.stats, "syncs_sent");
+    send_peer(self, peer, "/peer/v1/sync", body, sync_timeout_ms,
+              [&self, peer, done = std::move(done)](const json* answer)
+              {
+                  if (answer != nullptr)
+                  {
+                      apply_records_message(self, *answer, "peer " + to_string(peer));
+                      merge_crashes(self, *answer);
+                      merge_progress_list(self, array_in(*answer, "moves"));
+                      for (const json& value : array_in(*answer, "domains"))
+                      {
+                          merge_domain(self, value, to_string(peer));
+                      }
+                      if (counter_in(*answer, "digest") != make_digest(self.members).root)
+                      {
+                          exchange_members(self, peer);
+                      }
+                  }
+                  if (done)
+                  {
+                      done(answer != nullptr);
+                  }
+              });
+}
+
+void sync_once(node& self)
+{
+    const auto peer = next_sync_peer(self.members, self.random);
+    const member_entry* entry = peer ? find_member(self.members, *peer) : nullptr;
+    if (entry != nullptr)
+    {
+        sync_with(self, control_endpoint(entry->record), {});
+    }
+}
+
+} // namespace sardinepoint
