Keep a restarted daemon from becoming ready with an older state than its peers

The log stand-in answers with replaced bytes where a record is not UTF-8 instead of ending. Test: replica-test, with continuous samples of the status of all daemons.

--- a/src/broadcast.cpp
+++ b/src/broadcast.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace sardinepoint
@@ -22,6 +23,8 @@
 
 constexpr std::size_t tree_fan_out = 4;
 constexpr time_ms flush_delay_ms = 10;
+// The periodic exchange alone would close a gap only after about a second.
+constexpr time_ms repair_interval_ms = 100;
 constexpr time_ms push_timeout_ms = 1000;
 constexpr std::uint64_t window_bits = 64;
 
@@ -84,6 +87,24 @@
     return body;
 }
 
+/** Asks the root for what it pushed if records before that are missing here. */
+void repair_gap(node& self, const json& body, std::string_view root)
+{
+    std::uint64_t pushed = counter_in(body, "next");
+    for (const json& record : array_in(body, "records"))
+    {
+        pushed = std::max(pushed, counter_in(record, "o") + 1);
+    }
+    replica& config = self.config_replica;
+    const member_entry* entry = find_member(self.members, root);
+    if (config.state.next_offset >= pushed || entry == nullptr || steady_now() < config.next_repair)
+    {
+        return;
+    }
+    config.next_repair = steady_now() + repair_interval_ms;
+    sync_with(self, control_endpoint(entry->record), {});
+}
+
 void forward_push(node& self, const json& body, std::string_view root)
 {
     const auto ids = live_ids(self.members, self.config.domain);
@@ -155,6 +176,7 @@
     count(self.stats, "pushes_received");
     forward_push(self, body, root);
     apply_records_message(self, body, root);
+    repair_gap(self, body, root);
     merge_members(self, body);
     merge_crashes(self, body);
     for (const json& value : array_in(body, "domains"))
--- a/src/contacts.cpp
+++ b/src/contacts.cpp
@@ -19,11 +19,7 @@
 constexpr time_ms announce_retry_ms = 1000;
 constexpr int newest_contacts = 64;
 constexpr std::size_t joined_contacts = 3;
-
-bool alone_in_domain(const node& self)
-{
-    return live_ids(self.members, self.config.domain).size() <= 1;
-}
+constexpr std::size_t told_contacts = 8;
 
 void join_domain(node& self)
 {
@@ -99,6 +95,39 @@
     return found;
 }
 
+bool alone_in_domain(const node& self)
+{
+    return live_ids(self.members, self.config.domain).size() <= 1;
+}
+
+json contacts_json(node& self, const std::string& domain)
+{
+    json all = json::array();
+    for (const peer_contact* contact : contacts_of(self, domain))
+    {
+        if (all.size() < told_contacts)
+        {
+            all.push_back({{"id", contact->id}, {"control", to_string(contact->control)}});
+        }
+    }
+    return all;
+}
+
+void take_contacts(node& self, const json& values)
+{
+    for (const json& value : values)
+    {
+        if (value.is_object())
+        {
+            add_contact(self, text_in(value, "id"), self.config.domain, text_in(value, "control"));
+        }
+    }
+    if (!values.empty())
+    {
+        join_domain(self);
+    }
+}
+
 void join_seeds(node& self)
 {
     for (const endpoint& seed : self.config.seeds)
--- a/src/contacts.hpp
+++ b/src/contacts.hpp
@@ -2,6 +2,8 @@
 
 #include "node.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <string>
 #include <vector>
 
@@ -15,6 +17,15 @@
 /** Contacts of a domain, the most reliable first. */
 std::vector<peer_contact*> contacts_of(node& self, const std::string& domain);
 
+/** Whether this daemon knows no live member of its failure domain but itself. */
+bool alone_in_domain(const node& self);
+
+/** A few contacts of a domain, for a daemon that can't read them from the log. */
+nlohmann::json contacts_json(node& self, const std::string& domain);
+
+/** Takes over contacts of the own domain and exchanges digests with them. */
+void take_contacts(node& self, const nlohmann::json& values);
+
 /** Exchanges digests with the configured seeds. */
 void join_seeds(node& self);
 
--- a/src/gateways.cpp
+++ b/src/gateways.cpp
@@ -5,6 +5,7 @@
 #include "move_runtime.hpp"
 #include "peer_messages.hpp"
 #include "replica.hpp"
+#include "sync.hpp"
 
 #include "sardinepoint/logging.hpp"
 
@@ -51,7 +52,13 @@
             schedule_flush(self);
         }
     }
+    const std::uint64_t before = self.config_replica.state.next_offset;
     apply_records_message(self, body, text_in(body, "id"));
+    if (self.config_replica.state.next_offset > before)
+    {
+        // A domain that is cut off from the log gets new records only through its gateways.
+        spread_records_since(self, before);
+    }
     merge_progress_list(self, array_in(body, "moves"));
     merge_shared_evidence(self, body);
 }
@@ -162,6 +169,11 @@
     const std::string domain = text_in(body, "domain");
     add_contact(self, text_in(body, "id"), domain, text_in(body, "control"));
     take_summary_message(self, body);
+    const auto sender = parse_endpoint(text_in(body, "control"));
+    if (!self.config_replica.ready && sender)
+    {
+        sync_with(self, *sender, {});
+    }
     json answer = records_since(self, counter_in(body, "have"));
     const json summary = to_json(summarise_domain(self.members, self.config.domain));
     answer["id"] = self.config.id;
--- a/src/member_exchange.cpp
+++ b/src/member_exchange.cpp
@@ -45,7 +45,7 @@
         log_event(log_level::info, "member_changed",
                   {{"member", record->id}, {"state", static_cast<int>(record->state)}});
     }
-    note_peer_offset(self, record->served_offset);
+    note_served_offset(self, record->served_offset);
 }
 
 /** Sends the peer the records of the buckets in which the tables differ. */
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -37,6 +37,10 @@
     std::string not_ready_reason = "the configuration isn't loaded yet";
     /** Next offset that must be reached before the daemon is ready. */
     std::optional<std::uint64_t> target;
+    /** Whether the target covers the end of the log as first seen. */
+    bool target_from_log = false;
+    /** Steady time before which a gap in the pushed records starts no other exchange. */
+    time_ms next_repair = 0;
     /** Steady time up to which the state is known to have held all records of the log. */
     time_ms fresh_at = 0;
     bool log_reachable = false;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -75,7 +75,8 @@
     config.next_read = steady_now() + retry_base_ms + jitter(self, retry_jitter_ms);
 }
 
-void load_snapshots(node& self);
+/** The log is read from the offset of the newest snapshot, so a load comes before a read. */
+void load_snapshots(node& self, bool after_expiry);
 
 void handle_read(node& self, const read_result& result, time_ms asked_at)
 {
@@ -92,15 +93,16 @@
     {
         log_event(log_level::warning, "records_expired",
                   {{"wanted", config.state.next_offset}, {"first", result.first}});
-        load_snapshots(self);
-        retry_later(self);
+        load_snapshots(self, true);
         return;
     }
     apply_records(self, result.records, "log");
     const bool complete = config.state.next_offset >= result.next;
-    if (!config.target)
+    if (!config.ready && !config.target_from_log)
     {
-        config.target = result.next;
+        // Peers that were asked before the log answered may be behind its end.
+        config.target = std::max(config.target.value_or(0), result.next);
+        config.target_from_log = true;
     }
     if (complete)
     {
@@ -124,23 +126,30 @@
                  { handle_read(self, result, asked_at); });
 }
 
-void load_snapshots(node& self)
+void load_snapshots(node& self, bool after_expiry)
 {
+    self.config_replica.reading = true;
     read_newest(self.log, snapshot_stream, newest_snapshots,
-                [&self](const read_result& result)
+                [&self, after_expiry](const read_result& result)
                 {
+                    bool adopted = false;
                     for (auto record = result.records.rbegin(); record != result.records.rend();
                          ++record)
                     {
                         if (adopt_snapshot(self, record->body, "log"))
                         {
+                            adopted = true;
                             break;
                         }
                     }
-                    if (result.ok)
+                    // Without a newer snapshot the expired read would fail again at once.
+                    if (!result.ok || (after_expiry && !adopted))
                     {
-                        self.config_replica.next_read = steady_now();
+                        retry_later(self);
+                        return;
                     }
+                    self.config_replica.reading = false;
+                    self.config_replica.next_read = steady_now();
                 });
 }
 
@@ -202,7 +211,7 @@
 void start_replica(node& self)
 {
     self.config_replica.snapshot_at = steady_now();
-    load_snapshots(self);
+    load_snapshots(self, false);
 }
 
 bool is_fetcher(const node& self)
@@ -326,6 +335,29 @@
     }
 }
 
+void note_served_offset(node& self, std::uint64_t next_offset)
+{
+    replica& config = self.config_replica;
+    // Offset 0 is what a daemon without any state reports; two such daemons must not take it for
+    // each other's newest state.
+    if (!config.ready && next_offset > 0)
+    {
+        config.target = std::max(config.target.value_or(0), next_offset);
+    }
+}
+
+void spread_records_since(node& self, std::uint64_t from)
+{
+    for (const log_record& record : self.config_replica.recent)
+    {
+        if (record.offset >= from)
+        {
+            self.pending.records.push_back(record);
+        }
+    }
+    schedule_flush(self);
+}
+
 void check_ready(node& self)
 {
     replica& config = self.config_replica;
--- a/src/replica.hpp
+++ b/src/replica.hpp
@@ -25,9 +25,15 @@
 /** Replaces the state by a snapshot that is newer; older ones are ignored. */
 bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source);
 
-/** Notes that peers hold the configuration up to this offset. */
+/** Notes that a ready peer holds the configuration up to this offset. */
 void note_peer_offset(node& self, std::uint64_t next_offset);
 
+/** Notes that some daemon has served this offset, which doesn't prove that no newer one exists. */
+void note_served_offset(node& self, std::uint64_t next_offset);
+
+/** Queues the records folded since this offset for the broadcast tree. */
+void spread_records_since(node& self, std::uint64_t from);
+
 /** Becomes ready if the target offset is reached. */
 void check_ready(node& self);
 
--- a/src/sync.cpp
+++ b/src/sync.cpp
@@ -1,5 +1,6 @@
 #include "sync.hpp"
 
+#include "contacts.hpp"
 #include "crash_json.hpp"
 #include "gateways.hpp"
 #include "member_exchange.hpp"
@@ -48,6 +49,11 @@
     merge_progress_list(self, array_in(body, "moves"));
     json answer = records_since(self, counter_in(body, "next"));
     answer["digest"] = make_digest(self.members).root;
+    answer["domain"] = self.config.domain;
+    if (body.value("alone", false))
+    {
+        answer["contacts"] = contacts_json(self, text_in(body, "domain"));
+    }
     answer["moves"] = all_progress_json(self);
     answer["crashes"] = crashes_json(self);
     const auto versions = body.find("domains");
@@ -57,11 +63,16 @@
 
 void sync_with(node& self, const endpoint& peer, std::function<void(bool)> done)
 {
-    const json body{{"id", self.config.id},
-                    {"next", self.config_replica.state.next_offset},
-                    {"moves", all_progress_json(self)},
-                    {"crashes", crashes_json(self)},
-                    {"domains", domain_versions(self)}};
+    json body{{"id", self.config.id},
+              {"next", self.config_replica.state.next_offset},
+              {"moves", all_progress_json(self)},
+              {"crashes", crashes_json(self)},
+              {"domains", domain_versions(self)}};
+    if (alone_in_domain(self))
+    {
+        body["alone"] = true;
+        body["domain"] = self.config.domain;
+    }
     count(self.stats, "syncs_sent");
     send_peer(self, peer, "/peer/v1/sync", body, sync_timeout_ms,
               [&self, peer, done = std::move(done)](const json* answer)
@@ -75,7 +86,9 @@
                       {
                           merge_domain(self, value, to_string(peer));
                       }
-                      if (counter_in(*answer, "digest") != make_digest(self.members).root)
+                      take_contacts(self, array_in(*answer, "contacts"));
+                      if (text_in(*answer, "domain") == self.config.domain &&
+                          counter_in(*answer, "digest") != make_digest(self.members).root)
                       {
                           exchange_members(self, peer);
                       }
--- a/support/rig/mesh.cpp
+++ b/support/rig/mesh.cpp
@@ -159,7 +159,7 @@
          << "\n[log]\nendpoint = " << this->log_address() << ":" << log_port
          << "\npoll_wait_ms = " << this->options.log_poll_wait
          << "\nsnapshot_interval_ms = " << this->options.snapshot_interval << "\n"
-         << this->options.extra_settings;
+         << this->options.extra_settings << daemon.extra_settings;
 }
 
 void mesh::start(daemon_node& daemon)
@@ -212,6 +212,7 @@
 void mesh::restart(daemon_node& daemon)
 {
     daemon.running.reset();
+    this->write_settings(daemon);
     this->start(daemon);
 }
 
--- a/support/rig/mesh.hpp
+++ b/support/rig/mesh.hpp
@@ -43,6 +43,8 @@
     std::string id;
     std::string domain;
     std::string settings_file;
+    /** Added to the settings file at the next restart. */
+    std::string extra_settings;
     std::string log_file;
     endpoint data;
     endpoint control;
--- a/support/standin_log.cpp
+++ b/support/standin_log.cpp
@@ -88,6 +88,12 @@
     return target.first + target.records.size();
 }
 
+// Operators may have appended bytes that are not UTF-8; JSON can carry them only replaced.
+std::string dump(const json& body)
+{
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json make_page(const stream& source, std::uint64_t from, std::size_t limit)
 {
     json records = json::array();
@@ -106,11 +112,11 @@
     if (log.fault.delay > 0)
     {
         run_after(*log.loop, log.fault.delay,
-                  [&log, id, status, text = body.dump()]
+                  [&log, id, status, text = dump(body)]
                   { send_reply(*log.server, id, json_response(status, text)); });
         return;
     }
-    send_reply(*log.server, id, json_response(status, body.dump()));
+    send_reply(*log.server, id, json_response(status, dump(body)));
 }
 
 void answer_waiting(service& log)
--- /dev/null
+++ b/test/replica-test.cpp
@@ -0,0 +1,508 @@
+#define BOOST_TEST_MODULE replica
+#include <boost/test/unit_test.hpp>
+
+#include "rig/mesh.hpp"
+#include "rig/status_sampler.hpp"
+
+#include "sardinepoint/http_client.hpp"
+#include "sardinepoint/membership.hpp"
+
+#include <csignal>
+#include <future>
+#include <random>
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr time_ms start_limit_ms = 10000;
+constexpr time_ms heal_limit_ms = 3000;
+constexpr time_ms catch_up_limit_ms = 8000;
+const std::vector<std::string> domain_names{"tallinn-a", "tallinn-b", "rakvere"};
+
+std::uint64_t make_seed()
+{
+    const char* given = std::getenv("SEED");
+    const std::uint64_t seed = given != nullptr ? std::stoull(given) : std::random_device{}();
+    BOOST_TEST_MESSAGE("seed " << seed);
+    return seed;
+}
+
+json service_patch(const std::string& name)
+{
+    return rig::service_operations(name, "v1", "/" + name);
+}
+
+/** Three failure domains under continuous observation: no daemon may ever go back. */
+struct observed_mesh
+{
+    rig::mesh mesh;
+    rig::status_sampler sampler;
+    std::mt19937_64 random{make_seed()};
+    std::uint64_t version = 0;
+
+    explicit observed_mesh(rig::mesh_options options, std::size_t daemons_per_domain = 2)
+        : mesh(prepare(std::move(options)))
+    {
+        for (const std::string& domain : domain_names)
+        {
+            for (std::size_t i = 0; i < daemons_per_domain; ++i)
+            {
+                this->mesh.add_daemon(domain + "-" + std::to_string(i), domain);
+            }
+        }
+        this->sampler.watch(this->mesh.daemons);
+        BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+    }
+
+    ~observed_mesh()
+    {
+        const auto report = this->sampler.finish();
+        BOOST_TEST_MESSAGE("status samples: " << report.samples);
+        BOOST_TEST(report.samples > 0U);
+        for (const std::string& fault : report.went_back)
+        {
+            BOOST_ERROR("a daemon went back: " + fault);
+        }
+    }
+
+    static rig::mesh_options prepare(rig::mesh_options options)
+    {
+        options.build_dir = SARDINEPOINT_BIN_DIR;
+        options.name = "replica";
+        return options;
+    }
+
+    rig::daemon_node& first_of(const std::string& domain)
+    {
+        return *std::find_if(this->mesh.daemons.begin(), this->mesh.daemons.end(),
+                             [&](const rig::daemon_node& item) { return item.domain == domain; });
+    }
+
+    std::vector<rig::daemon_node*> daemons_of(const std::string& domain)
+    {
+        std::vector<rig::daemon_node*> found;
+        for (rig::daemon_node& daemon : this->mesh.daemons)
+        {
+            if (daemon.domain == domain)
+            {
+                found.push_back(&daemon);
+            }
+        }
+        return found;
+    }
+
+    /** Submits a patch that adds a service and expects its acceptance. */
+    void accept(const rig::daemon_node& daemon)
+    {
+        const std::string name = "service-" + std::to_string(this->version + 1);
+        const json answer = this->mesh.submit(daemon, this->version, service_patch(name));
+        BOOST_REQUIRE_MESSAGE(answer.value("status", 0) == 200, answer.dump());
+        ++this->version;
+        BOOST_TEST(answer["version"] == this->version);
+    }
+
+    void kill(rig::daemon_node& daemon)
+    {
+        this->sampler.note_end(daemon.id);
+        daemon.running.reset();
+    }
+
+    void restart(rig::daemon_node& daemon)
+    {
+        this->mesh.restart(daemon);
+        this->sampler.note_start(daemon.id);
+    }
+
+    void restart_domain(const std::string& domain)
+    {
+        for (rig::daemon_node* daemon : this->daemons_of(domain))
+        {
+            this->kill(*daemon);
+        }
+        for (rig::daemon_node* daemon : this->daemons_of(domain))
+        {
+            this->restart(*daemon);
+        }
+    }
+
+    bool in_force(const std::vector<rig::daemon_node*>& daemons, time_ms limit)
+    {
+        return rig::wait_until(
+            limit,
+            [&]
+            {
+                return std::all_of(daemons.begin(), daemons.end(),
+                                   [&](const rig::daemon_node* daemon)
+                                   {
+                                       const json status = rig::status_of(*daemon);
+                                       return status.is_object() && status.value("ready", false) &&
+                                              status.value("version", 0ULL) >= this->version;
+                                   });
+            });
+    }
+
+    /** Waits until all daemons have folded the whole log, then compares their configurations. */
+    void expect_identical()
+    {
+        const std::uint64_t next = this->mesh.log_stats()["next"].value("config", 0ULL);
+        const bool reached = rig::wait_until(
+            catch_up_limit_ms,
+            [&]
+            {
+                return std::all_of(this->mesh.daemons.begin(), this->mesh.daemons.end(),
+                                   [&](const rig::daemon_node& daemon)
+                                   {
+                                       const json status = rig::status_of(daemon);
+                                       return status.is_object() && status.value("ready", false) &&
+                                              status.value("next_offset", 0ULL) == next;
+                                   });
+            });
+        BOOST_TEST(reached);
+        const json expected = rig::get_json(this->mesh.daemons[0].control, "/v1/config");
+        BOOST_TEST(expected["version"] == this->version);
+        for (const rig::daemon_node& daemon : this->mesh.daemons)
+        {
+            BOOST_TEST(rig::get_json(daemon.control, "/v1/config") == expected);
+        }
+    }
+};
+
+bool refuses_calls(const rig::daemon_node& daemon)
+{
+    const http_result answer = rig::call(daemon.data, {}, "/service-1/x");
+    return answer.response.status == 503 &&
+           find_header(answer.response.headers, "Sardinepoint-Outcome").value_or("") == "not-run";
+}
+
+void append_raw(rig::mesh& mesh, const std::string& body)
+{
+    const http_result answer =
+        rig::call(mesh.log_endpoint(), {.method = "POST", .body = body}, "/streams/config/records");
+    BOOST_TEST(answer.response.status == 200);
+}
+
+std::uint64_t newest_snapshot_offset(rig::mesh& mesh)
+{
+    const json page = rig::get_json(mesh.log_endpoint(), "/streams/snapshots/records?newest=1");
+    if (!page.is_object() || page["records"].empty())
+    {
+        return 0;
+    }
+    const json snapshot = json::parse(page["records"][0]["body"].get<std::string>());
+    return json::parse(snapshot["state"].get<std::string>())["next_offset"].get<std::uint64_t>();
+}
+
+} // namespace
+
+// Guards against two patches accepted for one version and against a wrong answer to an operator.
+BOOST_AUTO_TEST_CASE(racing_operators_get_one_acceptance_per_version)
+{
+    observed_mesh system{{}};
+    constexpr int rounds = 8;
+    for (int round = 0; round < rounds; ++round)
+    {
+        std::vector<std::future<json>> answers;
+        for (const rig::daemon_node& daemon : system.mesh.daemons)
+        {
+            const std::string name = "r" + std::to_string(round) + "-" + daemon.id;
+            answers.push_back(std::async(std::launch::async,
+                                         [&daemon, name, base = system.version]
+                                         {
+                                             return rig::post_json(daemon.control, "/v1/patches",
+                                                                   {{"id", name},
+                                                                    {"base", base},
+                                                                    {"ops", service_patch(name)}});
+                                         }));
+        }
+        std::vector<std::string> winners;
+        for (std::size_t i = 0; i < answers.size(); ++i)
+        {
+            const json answer = answers[i].get();
+            if (answer.value("status", 0) == 200)
+            {
+                winners.push_back("r" + std::to_string(round) + "-" + system.mesh.daemons[i].id);
+                BOOST_TEST(answer["version"] == system.version + 1);
+                continue;
+            }
+            BOOST_TEST_MESSAGE(answer.dump());
+            BOOST_TEST(answer.value("status", 0) == 409);
+            BOOST_TEST(answer["error"]["kind"] == "stale_version");
+        }
+        BOOST_REQUIRE(winners.size() == 1U);
+        ++system.version;
+        BOOST_REQUIRE(system.in_force(system.daemons_of("rakvere"), catch_up_limit_ms));
+        const json services =
+            rig::get_json(system.first_of("rakvere").control, "/v1/config")["services"];
+        BOOST_TEST(services.size() == system.version);
+        BOOST_TEST(services.dump().find(winners[0]) != std::string::npos);
+    }
+    system.expect_identical();
+}
+
+// Guards against a patch that is lost or applied twice because the log's answer was lost.
+BOOST_AUTO_TEST_CASE(lost_append_answer_neither_loses_nor_doubles_a_patch)
+{
+    observed_mesh system{{.extra_settings = "timeout_ms = 500\n"}};
+    system.mesh.set_log_faults({{"lost_answers", 1}});
+    const json first =
+        system.mesh.submit(system.mesh.daemons[0], 0, service_patch("service-1"), "lost");
+    BOOST_TEST(first["status"] == 200);
+    BOOST_TEST(first["version"] == 1);
+    system.version = 1;
+    const json again =
+        system.mesh.submit(system.mesh.daemons[3], 0, service_patch("service-1"), "lost");
+    BOOST_TEST(again["status"] == 200);
+    BOOST_TEST(again["version"] == 1);
+    BOOST_TEST(again["offset"] == first["offset"]);
+    system.accept(system.mesh.daemons[5]);
+    system.expect_identical();
+}
+
+// Guards against a record that stops a daemon or is applied in part.
+BOOST_AUTO_TEST_CASE(bad_records_are_rejected_whole_and_the_offset_advances)
+{
+    observed_mesh system{{}};
+    system.accept(system.mesh.daemons[0]);
+    json half = {{"kind", "patch"}, {"id", "half"}, {"base", 1}, {"created_ms", 1}};
+    half["ops"] = service_patch("half");
+    half["ops"].push_back({{"op", "put_route"},
+                           {"name", "broken"},
+                           {"prefix", "/b"},
+                           {"service", "unknown"},
+                           {"timeout_ms", 1000}});
+    const std::vector<std::string> bad{
+        "",
+        "not json",
+        "{}",
+        "[1,2]",
+        "\xff\xfe{\"kind\":\"patch\"}",
+        std::string("nul\0byte", 8),
+        std::string(50000, '['),
+        R"({"kind":"patch"})",
+        R"({"kind":"patch","id":"x","base":-1,"ops":[]})",
+        R"({"kind":"patch","id":"x","base":1e400,"ops":[{"op":"remove_route","name":"r"}]})",
+        R"({"kind":"unknown"})",
+        R"({"kind":"outcome","move":"none","state":"done"})",
+        R"({"kind":"outcome","move":7})",
+        half.dump()};
+    for (const std::string& body : bad)
+    {
+        append_raw(system.mesh, body);
+    }
+    BOOST_TEST(system.mesh.log_stats()["next"]["config"] == bad.size() + 1);
+    system.expect_identical();
+    system.accept(system.mesh.daemons[4]);
+    system.expect_identical();
+    const json config = rig::get_json(system.mesh.daemons[1].control, "/v1/config");
+    BOOST_TEST(config.dump().find("half") == std::string::npos);
+}
+
+// Guards against a daemon that can't start or catch up once the first records have expired.
+BOOST_AUTO_TEST_CASE(snapshots_replace_expired_records)
+{
+    observed_mesh system{{.snapshot_interval = 300}};
+    rig::daemon_node& frozen = system.first_of("tallinn-b");
+    frozen.running->signal(SIGSTOP);
+    constexpr int patches = 20;
+    for (int i = 0; i < patches; ++i)
+    {
+        system.accept(system.mesh.daemons[0]);
+    }
+    BOOST_REQUIRE(rig::wait_until(start_limit_ms,
+                                  [&] { return newest_snapshot_offset(system.mesh) >= patches; }));
+    system.mesh.set_log_faults({{"retention", 1}});
+    frozen.running->signal(SIGCONT);
+    system.kill(system.first_of("rakvere"));
+    system.restart(system.first_of("rakvere"));
+    system.restart_domain("tallinn-a");
+    system.expect_identical();
+    system.accept(system.first_of("rakvere"));
+    system.expect_identical();
+}
+
+// Guards against a restarted daemon that serves an older version than its predecessor.
+BOOST_AUTO_TEST_CASE(killed_daemon_and_killed_domain_restart_at_the_newest_version)
+{
+    observed_mesh system{{}};
+    for (int i = 0; i < 3; ++i)
+    {
+        system.accept(system.mesh.daemons[0]);
+        const std::size_t victim = std::uniform_int_distribution<std::size_t>(1, 5)(system.random);
+        system.kill(system.mesh.daemons[victim]);
+        system.accept(system.mesh.daemons[0]);
+        system.restart(system.mesh.daemons[victim]);
+        BOOST_TEST(system.in_force({&system.mesh.daemons[victim]}, heal_limit_ms));
+    }
+    system.restart_domain("rakvere");
+    BOOST_TEST(system.in_force(system.daemons_of("rakvere"), heal_limit_ms));
+    system.expect_identical();
+}
+
+// Guards against a failure domain that goes back, or stays out for ever, after a restart during
+// an outage of the log.
+BOOST_AUTO_TEST_CASE(domain_restarted_during_an_outage_of_the_log_catches_up_from_peers)
+{
+    for (const char* mode : {"refuse", "stall"})
+    {
+        BOOST_TEST_MESSAGE("log mode " << mode);
+        observed_mesh system{{}};
+        system.accept(system.mesh.daemons[0]);
+        system.accept(system.mesh.daemons[0]);
+        system.expect_identical();
+        system.mesh.set_log_faults({{"mode", mode}});
+        system.restart_domain("rakvere");
+        for (rig::daemon_node* daemon : system.daemons_of("rakvere"))
+        {
+            const json status = rig::status_of(*daemon);
+            BOOST_TEST((status.value("ready", true) || refuses_calls(*daemon)));
+        }
+        BOOST_TEST(system.in_force(system.daemons_of("rakvere"), catch_up_limit_ms));
+        system.mesh.set_log_faults({{"mode", "up"}});
+        BOOST_TEST(rig::wait_until(
+            catch_up_limit_ms,
+            [&] { return rig::status_of(system.mesh.daemons[0])["log"] == "reachable"; }));
+        system.accept(system.mesh.daemons[0]);
+        system.expect_identical();
+    }
+}
+
+// Guards against daemons that take each other's empty state for the newest one: they would serve
+// an older version than before.
+BOOST_AUTO_TEST_CASE(without_log_and_ready_peers_a_restarted_domain_is_never_ready)
+{
+    observed_mesh system{{.relayed = true}};
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    const auto members = system.daemons_of("rakvere");
+    for (rig::daemon_node* daemon : members)
+    {
+        const rig::daemon_node* other = daemon == members[0] ? members[1] : members[0];
+        daemon->extra_settings = "[peers]\nseeds = " + other->control.address + ":" +
+                                 std::to_string(other->relayed_control_port) + "\n";
+        system.kill(*daemon);
+    }
+    system.mesh.isolate("rakvere", true);
+    for (rig::daemon_node* daemon : members)
+    {
+        system.restart(*daemon);
+    }
+    constexpr time_ms observed_ms = 4000;
+    BOOST_TEST(!rig::wait_until(observed_ms,
+                                [&]
+                                {
+                                    return rig::status_of(*members[0]).value("ready", true) ||
+                                           rig::status_of(*members[1]).value("ready", true);
+                                }));
+    for (rig::daemon_node* daemon : members)
+    {
+        BOOST_TEST(refuses_calls(*daemon));
+        BOOST_TEST(!rig::status_of(*daemon)["not_ready"].get<std::string>().empty());
+        BOOST_TEST(system.mesh.submit(*daemon, 0, service_patch("lost"))["status"] == 503);
+    }
+    system.mesh.set_cuts({});
+    BOOST_TEST(system.in_force(members, catch_up_limit_ms));
+    system.expect_identical();
+}
+
+// Guards against a failure domain that keeps an old version although other domains have newer.
+BOOST_AUTO_TEST_CASE(domain_cut_off_from_the_log_only_gets_new_versions_from_other_domains)
+{
+    observed_mesh system{{.relayed = true}};
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    system.mesh.set_cuts(
+        {{.source = system.mesh.address_of("rakvere"), .target = system.mesh.log_address()}});
+    for (int i = 0; i < 3; ++i)
+    {
+        system.accept(system.first_of("tallinn-a"));
+        BOOST_TEST(system.in_force(system.daemons_of("rakvere"), heal_limit_ms));
+    }
+    system.mesh.set_cuts({});
+    system.expect_identical();
+}
+
+// Guards against a long way back to the newest version after a partition.
+BOOST_AUTO_TEST_CASE(isolated_domain_is_up_to_date_soon_after_the_cut_heals)
+{
+    observed_mesh system{{.relayed = true}};
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    for (const char* action : {"hold", "close"})
+    {
+        BOOST_TEST_MESSAGE("cut by " << action);
+        system.mesh.isolate("rakvere", true, action);
+        const std::uint64_t before = system.version;
+        system.accept(system.first_of("tallinn-a"));
+        system.accept(system.first_of("tallinn-b"));
+        constexpr time_ms cut_ms = 2000;
+        BOOST_TEST(!rig::wait_until(
+            cut_ms,
+            [&] { return rig::status_of(system.first_of("rakvere"))["version"] != before; }));
+        system.mesh.set_cuts({});
+        BOOST_TEST(system.in_force(system.daemons_of("rakvere"), heal_limit_ms));
+    }
+    system.expect_identical();
+}
+
+// Guards against readers of the log that hold their role while paused, and against a paused
+// daemon that spreads what it held before.
+BOOST_AUTO_TEST_CASE(frozen_fetchers_are_replaced_and_catch_up)
+{
+    observed_mesh system{{}, 4};
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    const auto members = system.daemons_of("tallinn-a");
+    std::vector<std::string_view> ids;
+    for (const rig::daemon_node* daemon : members)
+    {
+        ids.emplace_back(daemon->id);
+    }
+    const auto fetchers = rendezvous_pick(ids, "fetcher", 2);
+    std::vector<rig::daemon_node*> frozen;
+    std::vector<rig::daemon_node*> others;
+    for (rig::daemon_node* daemon : members)
+    {
+        const bool picked =
+            std::find(fetchers.begin(), fetchers.end(), daemon->id) != fetchers.end();
+        (picked ? frozen : others).push_back(daemon);
+    }
+    for (const rig::daemon_node* daemon : frozen)
+    {
+        daemon->running->signal(SIGSTOP);
+    }
+    system.accept(system.first_of("rakvere"));
+    BOOST_TEST(system.in_force(others, catch_up_limit_ms));
+    for (const rig::daemon_node* daemon : frozen)
+    {
+        daemon->running->signal(SIGCONT);
+    }
+    BOOST_TEST(system.in_force(frozen, heal_limit_ms));
+    system.expect_identical();
+}
+
+// Guards against faults that only a combination shows: a cut domain, a stalled log, a domain
+// that restarts meanwhile, and a lost answer.
+BOOST_AUTO_TEST_CASE(cut_restart_and_log_outage_together)
+{
+    observed_mesh system{{.extra_settings = "timeout_ms = 500\n", .relayed = true}};
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    system.mesh.isolate("tallinn-b", true);
+    system.mesh.set_log_faults({{"lost_answers", 1}});
+    system.accept(system.first_of("tallinn-a"));
+    BOOST_TEST(system.in_force(system.daemons_of("rakvere"), heal_limit_ms));
+    system.mesh.set_log_faults({{"mode", "stall"}});
+    system.restart_domain("rakvere");
+    BOOST_TEST(system.in_force(system.daemons_of("rakvere"), catch_up_limit_ms));
+    system.mesh.set_cuts({});
+    BOOST_TEST(system.in_force(system.daemons_of("tallinn-b"), heal_limit_ms));
+    system.mesh.set_log_faults({{"mode", "up"}});
+    BOOST_TEST(rig::wait_until(
+        catch_up_limit_ms,
+        [&] { return rig::status_of(system.first_of("tallinn-b"))["log"] == "reachable"; }));
+    system.accept(system.first_of("tallinn-b"));
+    system.expect_identical();
+}
