Refuse a port that another process listens on

Cause: the listener was opened with address reuse, which is SO_REUSEPORT on Linux, so a second daemon could share the ports of a running one. Change: the option is dropped; libmicrohttpd's default still permits a quick restart. Conclusion: a daemon on a taken port ends with status 1 and names address, port and remedy (cli-test).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -286,7 +286,7 @@
         server.get(), MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_URI_LOG_CALLBACK, &begin_exchange,
         server.get(), MHD_OPTION_NOTIFY_COMPLETED, &finish_exchange, server.get(),
         MHD_OPTION_CONNECTION_LIMIT, options.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-        options.idle_timeout_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        options.idle_timeout_s, MHD_OPTION_END);
     if (server->daemon == nullptr)
     {
         reason = {error_kind::internal,
