Dry run of patches, change token of watch

Cause: operators had no way to check a patch against the current configuration, and watch saw only changes of a move's state. Change: POST /v1/patches?dry_run=1 checks and answers without an append; another value than 0 or 1 is refused. /v1/watch answers with 'change', which covers state, step and share, and a daemon that isn't ready answers 503 for a move it doesn't know yet. Conclusion: cli-test shows that a dry run leaves the log as it was.

--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -8,6 +8,7 @@
 
 #include "sardinepoint/logging.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -195,19 +196,39 @@
                                     "of its failure domain"}));
 }
 
+/** Text that differs whenever an operator should see a new line for the move. */
+std::string change_of(const json& view)
+{
+    return fmt::format("{}:{}:{:.1f}", view.value("state", ""), view.value("step", 0),
+                       view.value("share", 0.0));
+}
+
+error unknown_move(const node& self, const std::string& move)
+{
+    if (!self.config_replica.ready)
+    {
+        return {error_kind::not_ready,
+                "this daemon is not ready: " + self.config_replica.not_ready_reason,
+                "ask another daemon or wait"};
+    }
+    return {error_kind::not_found, "move '" + move + "' is not known",
+            "see 'sardinepoint status' for the moves"};
+}
+
 /** Answers when the move's view changes from what the operator saw, or when the time is up. */
 void answer_watch(node& self, request_id id, const std::string& move, const std::string& seen,
                   time_ms deadline)
 {
-    const auto view = move_view(self, move);
+    auto view = move_view(self, move);
     if (!view)
     {
-        send_reply(*self.control_server, id,
-                   error_response(404, {error_kind::not_found, "move '" + move + "' is not known",
-                                        "see 'sardinepoint status' for the moves"}));
+        const error reason = unknown_move(self, move);
+        const int status = reason.kind == error_kind::not_ready ? 503 : 404;
+        send_reply(*self.control_server, id, error_response(status, reason));
         return;
     }
-    if (view->value("state", "") != seen || steady_now() >= deadline)
+    (*view)["change"] = change_of(*view);
+    if (view->at("change") != seen || steady_now() >= deadline)
     {
         send_reply(*self.control_server, id, json_response(200, view->dump()));
         return;
@@ -250,7 +271,7 @@
         send_reply(
             *self.control_server, id,
             error_response(404, {error_kind::not_found, "no page has the path " + std::string(path),
-                                 "see docs/operations.md for the pages"}));
+                                 "see docs/api.md for the pages"}));
     }
 }
 
@@ -258,7 +279,17 @@
 {
     if (path == "/v1/patches")
     {
-        submit_patch(self, request.body,
+        // Any other value could be meant as a dry run, which must not publish.
+        const std::string dry_run = query_parameter(request.target, "dry_run").value_or("0");
+        if (dry_run != "0" && dry_run != "1")
+        {
+            send_reply(*self.control_server, id,
+                       error_response(400, {error_kind::invalid_argument,
+                                            "parameter 'dry_run' has the value '" + dry_run + "'",
+                                            "give 1 to check only, or 0 to publish"}));
+            return;
+        }
+        submit_patch(self, request.body, dry_run == "1",
                      [&self, id](http_response response)
                      { send_reply(*self.control_server, id, std::move(response)); });
         return;
--- a/src/patch_submission.cpp
+++ b/src/patch_submission.cpp
@@ -117,7 +117,8 @@
 
 } // namespace
 
-void submit_patch(node& self, std::string_view text, std::function<void(http_response)> answer)
+void submit_patch(node& self, std::string_view text, bool dry_run,
+                  std::function<void(http_response)> answer)
 {
     error reason;
     auto change = parse_patch(text, reason);
@@ -143,8 +144,9 @@
     {
         change->created = wall_now();
     }
-    // A version ahead of this daemon's may be right: the log decides.
-    const bool ahead = change->base > config.state.version;
+    // A version ahead of this daemon's may be right: the log decides. A dry run has only this
+    // daemon's version to check against.
+    const bool ahead = !dry_run && change->base > config.state.version;
     if (!check_deadlines(*change, reason) ||
         (!ahead && !apply_patch(config.state, *change, reason)))
     {
@@ -153,6 +155,12 @@
         answer(refusal(reason));
         return;
     }
+    if (dry_run)
+    {
+        const json body{{"result", "valid"}, {"id", change->id}, {"version", config.state.version}};
+        answer(json_response(200, body.dump()));
+        return;
+    }
     append_record(self.log, config_stream, dump_patch(*change),
                   [&self, id = change->id, answer = std::move(answer)](const append_result& result)
                   { handle_append(self, id, result, answer); });
