Command-line tool: help per command, deadline_in_s, dry run, several daemons

Cause: some bad input had no precise message, and watch reported a withdrawn move as success. Conclusion: each bad input ends with its status, one line and no record in the log.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -6,6 +6,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -21,6 +24,8 @@
 using nlohmann::json;
 
 constexpr time_ms retry_interval_ms = 200;
+constexpr int longest_deadline_s = 365 * 24 * 3600;
+constexpr auto dump_errors = json::error_handler_t::replace;
 
 /** A request to the daemons, tried one after the other. */
 struct daemon_request
@@ -29,6 +34,7 @@
     std::string target;
     std::string body;
     time_ms timeout = 5000;
+    bool changes_configuration = false;
 };
 
 struct daemon_answer
@@ -64,35 +70,88 @@
             details.value("message", "the daemon gave no reason"), details.value("remedy", "")};
 }
 
-/** Asks the daemons in turn until one answers. */
+bool worth_retry(const error& reason)
+{
+    return reason.kind == error_kind::outcome_unknown || reason.kind == error_kind::unreachable ||
+           reason.kind == error_kind::log_unavailable || reason.kind == error_kind::not_ready;
+}
+
+/** One daemon's answer, or why there is none. */
+std::optional<daemon_answer> ask_one(const endpoint& daemon, const daemon_request& request,
+                                     error& reason)
+{
+    const http_result result = send_and_wait(daemon, request);
+    if (result.outcome != call_outcome::answered)
+    {
+        // A patch whose answer got lost may have been published.
+        const bool may_have_run =
+            result.outcome == call_outcome::unknown && request.changes_configuration;
+        reason = {may_have_run ? error_kind::outcome_unknown : error_kind::unreachable,
+                  "daemon " + to_string(daemon) + " gave no answer: " + result.reason,
+                  "check that it runs, or name other daemons with --daemon"};
+        return std::nullopt;
+    }
+    daemon_answer answer{.status = result.response.status,
+                         .body = json::parse(result.response.body, nullptr, false)};
+    if (!answer.body.is_object())
+    {
+        reason = {error_kind::internal,
+                  "daemon " + to_string(daemon) + " answered with something else than JSON",
+                  "check that the endpoint is a daemon's control port"};
+        return std::nullopt;
+    }
+    if (answer.status / 100 != 2)
+    {
+        reason = error_in(answer.body);
+        return std::nullopt;
+    }
+    return answer;
+}
+
+/** Keeps the kind that matters most to the operator, and the messages of all daemons. */
+void add_failure(error& all, const error& next)
+{
+    if (all.kind == error_kind::none)
+    {
+        all = next;
+        return;
+    }
+    all.message += "; " + next.message;
+    if (all.kind != error_kind::outcome_unknown)
+    {
+        all.kind = next.kind;
+        all.remedy = next.remedy;
+    }
+}
+
+/**
+ * Whether a patch may be published although another daemon refuses it. Only a stale version is
+ * proof: at a later offset the record is stale for every daemon.
+ */
+bool outweighs(const error& earlier, const error& refusal)
+{
+    return earlier.kind == error_kind::outcome_unknown && refusal.kind != error_kind::stale_version;
+}
+
+/** Asks the daemons in turn until one answers or refuses for good. */
 std::optional<daemon_answer> ask(const cli_options& options, const daemon_request& request,
                                  error& reason)
 {
+    reason = {};
     for (const endpoint& daemon : options.daemons)
     {
-        const http_result result = send_and_wait(daemon, request);
-        if (result.outcome != call_outcome::answered)
-        {
-            reason = {error_kind::unreachable,
-                      "daemon " + to_string(daemon) + " can't be reached: " + result.reason,
-                      "check that it runs or name another one with --daemon"};
-            continue;
-        }
-        daemon_answer answer{.status = result.response.status,
-                             .body = json::parse(result.response.body, nullptr, false)};
-        if (!answer.body.is_object())
+        error failure;
+        auto answer = ask_one(daemon, request, failure);
+        if (answer)
         {
-            reason = {error_kind::internal,
-                      "daemon " + to_string(daemon) + " answered with something else than JSON",
-                      "check that the endpoint is a daemon's control port"};
-            continue;
+            return answer;
         }
-        if (answer.status / 100 != 2)
+        if (!worth_retry(failure) && !outweighs(reason, failure))
         {
-            reason = error_in(answer.body);
+            reason = failure;
             return std::nullopt;
         }
-        return answer;
+        add_failure(reason, failure);
     }
     return std::nullopt;
 }
@@ -121,31 +180,104 @@
     return text.str();
 }
 
-/** Completes the patch text with id, base and time, and checks it. */
-std::optional<patch> prepare_patch(const patch_command& command, const std::string& text,
-                                   error& reason)
+/** Parses the patch text; a syntax error is named with its place. */
+std::optional<json> parse_patch_text(const std::string& text, error& reason)
 {
-    json body = json::parse(text, nullptr, false);
+    json body;
+    try
+    {
+        body = json::parse(text);
+    }
+    catch (const json::parse_error& problem)
+    {
+        const std::size_t end = std::min(problem.byte == 0 ? 0 : problem.byte - 1, text.size());
+        const std::string before = text.substr(0, end);
+        const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+        const std::size_t column = before.size() - (before.rfind('\n') + 1) + 1;
+        reason = {error_kind::invalid_patch,
+                  fmt::format("the patch is not valid JSON at line {}, column {}", line, column),
+                  "check quotes, commas and brackets there"};
+        return std::nullopt;
+    }
     if (!body.is_object())
     {
         reason = {error_kind::invalid_patch, "the patch is not a JSON object",
                   "write it as {\"base\": N, \"ops\": [...]}"};
         return std::nullopt;
     }
+    return body;
+}
+
+/** Replaces a start_move's deadline_in_s by deadline_ms. */
+bool fill_in_deadline(json& operation, std::size_t index, time_ms now, error& reason)
+{
+    const json given = operation["deadline_in_s"];
+    const std::string where = fmt::format("operation {}: key 'deadline_in_s' has the value {}",
+                                          index, given.dump(-1, ' ', false, dump_errors));
+    if (operation.contains("deadline_ms"))
+    {
+        reason = {error_kind::invalid_patch, where + " beside 'deadline_ms'",
+                  "give one of the two deadlines"};
+        return false;
+    }
+    const bool valid =
+        given.is_number() && given.get<double>() > 0 && given.get<double>() <= longest_deadline_s;
+    if (!valid)
+    {
+        reason = {error_kind::invalid_patch, where + ", which is not a duration",
+                  fmt::format("give seconds from now, above 0 and up to {}", longest_deadline_s)};
+        return false;
+    }
+    constexpr double ms_per_s = 1000;
+    operation.erase("deadline_in_s");
+    operation["deadline_ms"] = now + std::llround(given.get<double>() * ms_per_s);
+    return true;
+}
+
+bool fill_in_deadlines(json& body, time_ms now, error& reason)
+{
+    const auto operations = body.find("ops");
+    if (operations == body.end() || !operations->is_array())
+    {
+        return true;
+    }
+    for (std::size_t index = 0; index < operations->size(); ++index)
+    {
+        json& operation = (*operations)[index];
+        const bool named = operation.is_object() && operation.contains("deadline_in_s") &&
+                           operation.value("op", json()) == "start_move";
+        if (named && !fill_in_deadline(operation, index, now, reason))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Completes the patch text with id, base, deadlines and time, and checks it. */
+std::optional<patch> prepare_patch(const patch_command& command, const std::string& text,
+                                   error& reason)
+{
+    auto body = parse_patch_text(text, reason);
+    const time_ms now = wall_now();
+    if (!body || !fill_in_deadlines(*body, now, reason))
+    {
+        return std::nullopt;
+    }
     if (command.base)
     {
-        body["base"] = *command.base;
+        (*body)["base"] = *command.base;
     }
     if (!command.id.empty())
     {
-        body["id"] = command.id;
+        (*body)["id"] = command.id;
     }
-    if (!body.contains("id"))
+    if (!body->contains("id"))
     {
-        body["id"] = random_id();
+        (*body)["id"] = random_id();
     }
-    body["created_ms"] = wall_now();
-    return parse_patch(body.dump(-1, ' ', false, json::error_handler_t::replace), reason);
+    (*body)["created_ms"] = now;
+    return parse_patch(body->dump(-1, ' ', false, dump_errors), reason);
 }
 
 void print_accepted(const cli_options& options, const json& body)
@@ -155,6 +287,12 @@
         std::cout << body.dump() << "\n";
         return;
     }
+    if (body.value("result", "") == "valid")
+    {
+        std::cout << fmt::format("valid against version {}; nothing was published (patch {})\n",
+                                 body.value("version", 0ULL), body.value("id", ""));
+        return;
+    }
     std::cout << fmt::format("accepted: version {} at offset {} (patch {})\n",
                              body.value("version", 0ULL), body.value("offset", 0ULL),
                              body.value("id", ""));
@@ -234,6 +372,17 @@
               << std::flush;
 }
 
+std::string percent_encode(const std::string& text)
+{
+    std::string encoded;
+    for (const unsigned char c : text)
+    {
+        const bool plain = std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+        encoded += plain ? std::string(1, static_cast<char>(c)) : fmt::format("%{:02X}", c);
+    }
+    return encoded;
+}
+
 void pause_between_tries()
 {
     event_loop_ptr loop = make_event_loop();
@@ -241,12 +390,6 @@
     run(*loop);
 }
 
-bool worth_retry(const error& reason)
-{
-    return reason.kind == error_kind::outcome_unknown || reason.kind == error_kind::unreachable ||
-           reason.kind == error_kind::log_unavailable || reason.kind == error_kind::not_ready;
-}
-
 } // namespace
 
 int exit_status(error_kind kind)
@@ -291,7 +434,7 @@
                            {{"kind", to_string(reason.kind)},
                             {"message", reason.message},
                             {"remedy", reason.remedy}}}}
-                         .dump(-1, ' ', false, json::error_handler_t::replace)
+                         .dump(-1, ' ', false, dump_errors)
                   << "\n";
     }
     else
@@ -311,10 +454,13 @@
         return report_error(options, reason);
     }
     const daemon_request request{.method = "POST",
-                                 .target = "/v1/patches",
+                                 .target =
+                                     command.dry_run ? "/v1/patches?dry_run=1" : "/v1/patches",
                                  .body = dump_patch(*change),
-                                 .timeout = options.timeout};
+                                 .timeout = options.timeout,
+                                 .changes_configuration = !command.dry_run};
     const time_ms deadline = steady_now() + options.timeout;
+    bool may_be_published = false;
     for (;;)
     {
         const auto answer = ask(options, request, reason);
@@ -323,6 +469,7 @@
             print_accepted(options, answer->body);
             return 0;
         }
+        may_be_published = may_be_published || reason.kind == error_kind::outcome_unknown;
         // The patch id makes a repetition safe: a patch is folded once.
         if (!worth_retry(reason) || steady_now() >= deadline)
         {
@@ -330,7 +477,11 @@
         }
         pause_between_tries();
     }
-    if (worth_retry(reason))
+    if (may_be_published && reason.kind != error_kind::stale_version)
+    {
+        reason.kind = error_kind::outcome_unknown;
+    }
+    if (worth_retry(reason) && !command.dry_run)
     {
         reason.remedy += (reason.remedy.empty() ? "" : "; ") +
                          ("repeat with --id=" + change->id + " to learn the outcome");
@@ -374,37 +525,40 @@
 
 int run_watch(const cli_options& options, const std::string& move)
 {
-    constexpr time_ms poll_wait_ms = 2000;
+    constexpr time_ms longest_poll_ms = 2000;
+    const time_ms poll_wait = std::min(longest_poll_ms, options.timeout / 2);
     error reason;
-    std::string last;
+    std::string seen;
     time_ms last_answer = steady_now();
     for (;;)
     {
-        const daemon_request request{.target = "/v1/watch?move=" + move +
-                                               "&wait_ms=" + std::to_string(poll_wait_ms) +
-                                               "&after=" + last.substr(0, last.find(' ')),
+        const daemon_request request{.target = fmt::format("/v1/watch?move={}&wait_ms={}&after={}",
+                                                           percent_encode(move), poll_wait,
+                                                           percent_encode(seen)),
                                      .timeout = options.timeout};
         const auto answer = ask(options, request, reason);
-        if (!answer && (!worth_retry(reason) || steady_now() - last_answer > options.timeout))
-        {
-            return report_error(options, reason);
-        }
         if (!answer)
         {
+            // A daemon that lags behind doesn't know a move yet that another has shown.
+            const bool lagging = reason.kind == error_kind::not_found && !seen.empty();
+            if ((!worth_retry(reason) && !lagging) || steady_now() - last_answer > options.timeout)
+            {
+                return report_error(options, reason);
+            }
             pause_between_tries();
             continue;
         }
         last_answer = steady_now();
-        const std::string seen =
-            answer->body.value("state", "") + " " + answer->body.value("share", json(0)).dump();
-        if (seen != last)
+        const std::string change = answer->body.value("change", answer->body.dump());
+        if (change != seen)
         {
             print_move(options, answer->body);
-            last = seen;
+            seen = change;
         }
-        if (answer->body.value("state", "") != "running")
+        const std::string state = answer->body.value("state", "");
+        if (state != "running")
         {
-            return 0;
+            return state == "withdrawn" ? withdrawn_status : 0;
         }
     }
 }
@@ -416,7 +570,7 @@
     const auto answer = ask(options,
                             {.method = "POST",
                              .target = "/v1/drain",
-                             .body = body.dump(-1, ' ', false, json::error_handler_t::replace),
+                             .body = body.dump(-1, ' ', false, dump_errors),
                              .timeout = options.timeout},
                             reason);
     if (!answer)
--- a/src/cli.hpp
+++ b/src/cli.hpp
@@ -25,6 +25,8 @@
     std::string file;
     std::optional<std::uint64_t> base;
     std::string id;
+    /** Only checks the patch against the daemon's current configuration. */
+    bool dry_run = false;
 };
 
 struct drain_command
@@ -33,6 +35,9 @@
     bool undo = false;
 };
 
+/** Exit status of watch when the move was withdrawn. */
+inline constexpr int withdrawn_status = 13;
+
 /** Exit status of the tool for a kind of error; 0 for none. */
 int exit_status(error_kind kind);
 
--- a/src/cli_main.cpp
+++ b/src/cli_main.cpp
@@ -4,9 +4,14 @@
 
 #include <docopt/docopt.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
+#include <limits>
+#include <set>
 #include <sstream>
+#include <string_view>
 
 using namespace sardinepoint;
 
@@ -16,7 +21,7 @@
 constexpr const char* usage = R"(Operates a sardinepoint mesh.
 
 Usage:
-  sardinepoint patch FILE [--base=N] [--id=ID] [--daemon=LIST] [--timeout-ms=N] [--json]
+  sardinepoint patch FILE [--base=N] [--id=ID] [--dry-run] [--daemon=LIST] [--timeout-ms=N] [--json]
   sardinepoint status [--daemon=LIST] [--timeout-ms=N] [--json]
   sardinepoint get [--daemon=LIST] [--timeout-ms=N] [--json]
   sardinepoint watch MOVE [--daemon=LIST] [--timeout-ms=N] [--json]
@@ -34,19 +39,159 @@
 Options:
   --base=N         Version that the patch was made against; replaces the file's "base".
   --id=ID          Patch id; repeating a patch with its id is safe.
+  --dry-run        Checks the patch against the daemon's configuration and publishes nothing.
   --undo           Puts drained upstreams back into service.
-  --daemon=LIST    Control endpoints, address:port separated by commas. Without it the
-                   environment variable SARDINEPOINT_DAEMON is used.
-  --timeout-ms=N   Time limit in milliseconds [default: 10000].
+  --daemon=LIST    Control endpoints, address:port separated by commas; the next one is tried
+                   when one can't be reached. Without it the environment variable
+                   SARDINEPOINT_DAEMON is used.
+  --timeout-ms=N   Time limit of one request, and of all repetitions together, in milliseconds
+                   [default: 10000].
   --json           Prints JSON for programs.
-  -h --help        Shows this text.
+  -h --help        Shows this text, or a command's with 'sardinepoint COMMAND --help'.
   --version        Shows the version.
 
 Exit status: 0 success, 1 internal, 2 bad argument, 3 bad settings, 4 invalid patch,
 5 stale version, 6 unknown service, 7 not found, 8 daemon not ready, 9 log unavailable,
-10 outcome unknown, 11 unreachable, 12 expired.
+10 outcome unknown, 11 unreachable, 12 expired, 13 watched move withdrawn.
 )";
 
+struct command_help
+{
+    std::string_view name;
+    std::string_view text;
+};
+
+constexpr std::array<command_help, 5> commands{{
+    {"patch", R"(Submits a patch against a numbered version.
+
+Usage:
+  sardinepoint patch FILE [--base=N] [--id=ID] [--dry-run] [--daemon=LIST] [--timeout-ms=N] [--json]
+
+FILE holds {"base": N, "ops": [...]}; - reads standard input. Operations:
+  {"op": "put_service", "name": S, "versions": {"v1": 100}}
+  {"op": "remove_service", "name": S}
+  {"op": "put_route", "name": R, "prefix": "/path", "service": S}
+      optional: "timeout_ms": N, "idempotent": true or false
+  {"op": "remove_route", "name": R}
+  {"op": "start_move", "id": M, "service": S, "from": "v1", "to": "v2", "deadline_in_s": N}
+      "deadline_in_s" counts seconds from now; "deadline_ms" instead is a time in milliseconds
+      since the Unix epoch; optional: "policy", "steps"
+  {"op": "cancel_move", "id": M}
+
+Options:
+  --base=N         Version that the patch was made against; replaces the file's "base".
+  --id=ID          Patch id; repeating a patch with its id is safe.
+  --dry-run        Checks the patch against the daemon's configuration and publishes nothing.
+)"},
+    {"status", R"(Shows one daemon's view: readiness, version, members, upstreams, moves.
+
+Usage:
+  sardinepoint status [--daemon=LIST] [--timeout-ms=N] [--json]
+
+Options:
+)"},
+    {"get", R"(Shows the configuration that a daemon serves.
+
+Usage:
+  sardinepoint get [--daemon=LIST] [--timeout-ms=N] [--json]
+
+Options:
+)"},
+    {"watch", R"(Follows a move: prints a line at each change and ends with the move.
+
+Usage:
+  sardinepoint watch MOVE [--daemon=LIST] [--timeout-ms=N] [--json]
+
+Exit status: 0 the move is done, 13 it was withdrawn, 7 no such move, 11 no daemon answered for
+--timeout-ms. With several daemons it goes on while one of them restarts.
+
+Options:
+)"},
+    {"drain", R"(Takes the upstreams of one daemon out of service; calls in progress end normally.
+
+Usage:
+  sardinepoint drain MEMBER [--undo] [--daemon=LIST] [--timeout-ms=N] [--json]
+
+MEMBER is a daemon's id as 'sardinepoint status' shows it.
+
+Options:
+  --undo           Puts drained upstreams back into service.
+)"},
+}};
+
+constexpr const char* shared_options =
+    R"(  --daemon=LIST    Control endpoints, address:port separated by commas; the next one is tried
+                   when one can't be reached. Without it the environment variable
+                   SARDINEPOINT_DAEMON is used.
+  --timeout-ms=N   Time limit of one request, and of all repetitions together, in milliseconds
+                   [default: 10000].
+  --json           Prints JSON for programs.
+  -h --help        Shows this text.
+)";
+
+constexpr std::int64_t longest_timeout_ms = 3'600'000;
+
+const command_help* find_command(const std::string& name)
+{
+    const auto found = std::find_if(commands.begin(), commands.end(),
+                                    [&](const command_help& help) { return help.name == name; });
+    return found == commands.end() ? nullptr : found;
+}
+
+void print_help(const std::vector<std::string>& words)
+{
+    for (const std::string& word : words)
+    {
+        if (const command_help* help = find_command(word))
+        {
+            std::cout << help->text << shared_options;
+            return;
+        }
+    }
+    std::cout << usage;
+}
+
+/** Says which word of a command line doesn't fit. */
+error explain_command_line(const std::vector<std::string>& words)
+{
+    static const std::set<std::string> known{"--base", "--id",     "--dry-run",
+                                             "--undo", "--daemon", "--timeout-ms",
+                                             "--json", "--help",   "--version"};
+    error reason{error_kind::invalid_argument,
+                 "the command line is not complete or has a word "
+                 "too many",
+                 "see 'sardinepoint --help'"};
+    if (words.empty())
+    {
+        reason.message = "no command is given";
+        reason.remedy = "use patch, status, get, watch or drain; see 'sardinepoint --help'";
+        return reason;
+    }
+    for (const std::string& word : words)
+    {
+        if (word.substr(0, 2) == "--" && !known.contains(word.substr(0, word.find('='))))
+        {
+            reason.message = "option '" + word + "' is unknown";
+            return reason;
+        }
+    }
+    const auto first =
+        std::find_if(words.begin(), words.end(),
+                     [](const std::string& word) { return word.substr(0, 1) != "-"; });
+    if (first != words.end() && find_command(*first) == nullptr)
+    {
+        reason.message = "command '" + *first + "' is unknown";
+        reason.remedy = "use patch, status, get, watch or drain";
+        return reason;
+    }
+    if (first != words.end())
+    {
+        reason.message = "the command line does not fit the command '" + *first + "'";
+        reason.remedy = "see 'sardinepoint " + *first + " --help'";
+    }
+    return reason;
+}
+
 using arguments = std::map<std::string, docopt::value>;
 
 std::optional<std::vector<endpoint>> parse_daemons(const std::string& text, error& reason)
@@ -76,15 +221,16 @@
 }
 
 std::optional<std::int64_t> parse_number(const arguments& args, const std::string& name,
-                                         error& reason)
+                                         std::int64_t low, std::int64_t high, error& reason)
 {
     const std::string text = args.at(name).asString();
     const auto number = parse_integer(text);
-    if (!number)
+    if (!number || *number < low || *number > high)
     {
-        reason = {error_kind::invalid_argument,
-                  "option '" + name + "' has the value '" + text + "'",
-                  "give a whole number of 0 or more"};
+        reason = {
+            error_kind::invalid_argument, "option '" + name + "' has the value '" + text + "'",
+            "give a whole number from " + std::to_string(low) + " to " + std::to_string(high)};
+        return std::nullopt;
     }
     return number;
 }
@@ -97,7 +243,7 @@
                              : environment       ? environment
                                                  : "";
     const auto daemons = parse_daemons(list, reason);
-    const auto timeout = parse_number(args, "--timeout-ms", reason);
+    const auto timeout = parse_number(args, "--timeout-ms", 1, longest_timeout_ms, reason);
     if (!daemons || !timeout)
     {
         return false;
@@ -109,11 +255,13 @@
 
 int run_patch_command(const arguments& args, const cli_options& options)
 {
-    patch_command command{.file = args.at("FILE").asString()};
+    patch_command command{.file = args.at("FILE").asString(),
+                          .dry_run = args.at("--dry-run").asBool()};
     if (args.at("--base"))
     {
         error reason;
-        const auto base = parse_number(args, "--base", reason);
+        const auto base =
+            parse_number(args, "--base", 0, std::numeric_limits<std::int64_t>::max(), reason);
         if (!base)
         {
             return report_error(options, reason);
@@ -159,13 +307,14 @@
 
 int main(int argc, char** argv)
 {
+    const std::vector<std::string> words(argv + 1, argv + argc);
     try
     {
-        return run_command(docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true, false));
+        return run_command(docopt::docopt_parse(usage, words, true, true, false));
     }
     catch (const docopt::DocoptExitHelp&)
     {
-        std::cout << usage;
+        print_help(words);
         return 0;
     }
     catch (const docopt::DocoptExitVersion&)
@@ -173,10 +322,9 @@
         std::cout << "sardinepoint 0.1.0\n";
         return 0;
     }
-    catch (const std::exception& problem)
+    catch (const docopt::DocoptArgumentError&)
     {
-        std::cerr << "sardinepoint: invalid_argument: the command line is not valid; see "
-                     "'sardinepoint --help'\n";
-        return exit_status(error_kind::invalid_argument);
+        const bool as_json = std::find(words.begin(), words.end(), "--json") != words.end();
+        return report_error({.json = as_json}, explain_command_line(words));
     }
 }
