--- a/test/cli-test.cpp
+++ b/test/cli-test.cpp
@@ -59,7 +59,7 @@
     std::string write(const std::string& text) const
     {
         static std::atomic<int> count = 0;
-        const std::string file = path + "/" + std::to_string(++count);
+        std::string file = path + "/" + std::to_string(++count);
         std::ofstream(file) << text;
         return file;
     }
@@ -320,11 +320,15 @@
         rig::post_json(this->address, "/stop", json::object());
         this->thread.join();
     }
+    bool was_asked() const
+    {
+        return this->next > 0;
+    }
     endpoint address;
 
 private:
     std::vector<json> views;
-    std::size_t next = 0;
+    std::atomic<std::size_t> next = 0;
     std::thread thread;
 };
 
@@ -441,14 +445,29 @@
     BOOST_TEST(lost.out.find("withdrawn share 0.0% (errors)") != std::string::npos, lost.out);
 }
 
+// Guards against a watch that ends with the daemon that it asked first.
+BOOST_AUTO_TEST_CASE(watch_goes_on_when_a_daemon_goes_away)
+{
+    auto first = std::make_unique<scripted_daemon>(std::vector{view_of("running", 1)});
+    scripted_daemon second({view_of("running", 50), view_of("done", 100)});
+    const std::string daemons = to_string(first->address) + "," + to_string(second.address);
+    auto watching = std::async(std::launch::async, run_tool, "watch m --daemon=" + daemons);
+    BOOST_TEST(rig::wait_until(start_limit_ms, [&] { return first->was_asked(); }));
+    first.reset();
+    const program_run run = watching.get();
+    BOOST_TEST(run.status == 0, run.err);
+    BOOST_TEST(run.out == "move m: running share 1.0%\nmove m: running share 50.0%\n"
+                          "move m: done share 100.0%\n");
+}
+
 // Guards against a daemon that starts with bad settings or without its ports.
 BOOST_AUTO_TEST_CASE(daemon_names_bad_settings_and_a_taken_port)
 {
     const std::string settings = read_file(rigged().daemon().settings_file);
     const std::string file = files().write(settings + "colour = red\n");
-    for (const std::string option : {"", " --check"})
+    for (const std::string arguments : {"--config=" + file, "--check --config=" + file})
     {
-        const program_run run = run_program("sardinepointd", "--config=" + file + option);
+        const program_run run = run_program("sardinepointd", arguments);
         check_error(run, 3, {"'colour'", "[log]", "remove it"});
     }
     const std::string same = "--config=" + rigged().daemon().settings_file;
