--- /dev/null
+++ b/support/load.cpp
@@ -0,0 +1,62 @@
+// Sends an open load to daemons and checks that each answer belongs to its own request.
+
+#include "rig/load.hpp"
+
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+using namespace sardinepoint;
+
+namespace
+{
+
+constexpr const char* usage = R"(Open load on daemons' data endpoints.
+
+Usage:
+  load [options] <endpoint>...
+
+Options:
+  --path=PATH           Path of the calls [default: /duty/today].
+  --rate=N              Calls per second over all endpoints [default: 100].
+  --seconds=N           Time during which calls start [default: 10].
+  --count=N             Most calls [default: 200000].
+  --deadline-ms=N       Deadline of each call [default: 1000].
+  --post-share=X        Part of the calls that are POST [default: 0].
+  --body-bytes=N        Least size of the bodies [default: 32].
+  --seed=N              Seed of arrivals and methods [default: 1].
+)";
+
+constexpr time_ms ms_per_second = 1000;
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    rig::load_options options;
+    for (const std::string& text : args["<endpoint>"].asStringList())
+    {
+        const auto target = parse_endpoint(text);
+        if (!target)
+        {
+            std::cerr << "load: '" << text << "' is not an address:port\n";
+            return 1;
+        }
+        options.targets.push_back(*target);
+    }
+    options.path = args["--path"].asString();
+    options.calls_per_second = std::stod(args["--rate"].asString());
+    options.duration = args["--seconds"].asLong() * ms_per_second;
+    options.most_calls = static_cast<std::uint64_t>(args["--count"].asLong());
+    options.deadline = args["--deadline-ms"].asLong();
+    const double post_share = std::stod(args["--post-share"].asString());
+    options.methods = {{"GET", 1 - post_share}, {"POST", post_share}};
+    options.body_bytes = static_cast<std::size_t>(args["--body-bytes"].asLong());
+    options.seed = static_cast<std::uint64_t>(args["--seed"].asLong());
+    const rig::load_report report = rig::run_load(options);
+    std::cout << rig::describe(report) << "\n";
+    const bool wrong = rig::count_verdict(report, rig::load_verdict::mixed_up) > 0 ||
+                       rig::count_verdict(report, rig::load_verdict::incomplete) > 0;
+    return wrong ? 2 : 0;
+}
