--- a/support/standin_upstream.cpp
+++ b/support/standin_upstream.cpp
@@ -74,6 +74,11 @@
     std::uint64_t calls = 0;
     std::uint64_t cancelled = 0;
     std::uint64_t over_slots = 0;
+    std::size_t most_connections = 0;
+    /** Calls in the current second of the wall clock, and most in any second. */
+    time_ms second = 0;
+    std::uint64_t calls_in_second = 0;
+    std::uint64_t most_calls_in_second = 0;
     time_ms last_call = 0;
     std::set<std::uint64_t> active;
     /** How often each request with a Request-Id header ran. */
@@ -138,6 +143,15 @@
               { send_reply(*self.server, id, response); });
 }
 
+void note_rate(upstream& self)
+{
+    constexpr time_ms second_ms = 1000;
+    const time_ms second = self.last_call / second_ms;
+    self.calls_in_second = second == self.second ? self.calls_in_second + 1 : 1;
+    self.second = second;
+    self.most_calls_in_second = std::max(self.most_calls_in_second, self.calls_in_second);
+}
+
 void handle_call(upstream& self, request_id id, const http_request& request)
 {
     if (!self.behave.crash_body.empty() && request.body == self.behave.crash_body)
@@ -146,6 +160,8 @@
     }
     ++self.calls;
     self.last_call = wall_now();
+    note_rate(self);
+    self.most_connections = std::max(self.most_connections, open_connections(*self.server));
     if (const auto name = find_header(request.headers, "Request-Id"))
     {
         ++self.runs[std::string(*name)];
@@ -198,6 +214,8 @@
                     {"most_running", self.most_running},
                     {"over_slots", self.over_slots},
                     {"connections", open_connections(*self.server)},
+                    {"most_connections", self.most_connections},
+                    {"most_calls_in_second", self.most_calls_in_second},
                     {"last_call_ms", self.last_call},
                     {"most_runs", most_runs},
                     {"runs", self.runs}};
