Bound an upstream's connections by its announcement; accept odd load values

Cause: calls that may not be repeated and have no body open a fresh connection each; the shared pool kept up to 130 of them. An upstream that announced 10 connections had 130 (test hard_limits_hold_under_overload_from_several_daemons). A load outside the accepted range, or of another type, refused the whole announcement. Change: one client per upstream whose limit is the announced number (local_hop.cpp uses it in three places); an odd load counts as none.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -208,6 +208,7 @@
     run(*loop);
     self.data_server.reset();
     self.control_server.reset();
+    self.upstream_clients.clear();
     self.data_client.reset();
     self.control_client.reset();
     return 0;
--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -90,7 +90,7 @@
     }
     const std::string upstream = found->second->upstream;
     const std::uint64_t fingerprint = found->second->request.fingerprint;
-    send_request(*self.data_client,
+    send_request(upstream_client(self, upstream),
                  {.method = "GET",
                   .url = "http://" + upstream + "/",
                   .timeout = crash_probe_timeout_ms,
@@ -163,7 +163,7 @@
     hop.started = steady_now();
     const time_ms time_left = hop.request.time_left - (hop.started - hop.arrived);
     const std::uint64_t id = hop.id;
-    hop.call = send_request(*self.data_client,
+    hop.call = send_request(upstream_client(self, hop.upstream),
                             {.method = hop.request.request.method,
                              .url = "http://" + hop.upstream + hop.request.request.target,
                              .headers = upstream_headers(hop, time_left),
@@ -230,7 +230,7 @@
     }
     if (hop->call)
     {
-        cancel_call(*self.data_client, *hop->call);
+        cancel_call(upstream_client(self, hop->upstream), *hop->call);
     }
     const auto found = self.upstreams.find(hop->upstream);
     if (found != self.upstreams.end())
--- a/src/local_upstreams.cpp
+++ b/src/local_upstreams.cpp
@@ -41,11 +41,25 @@
     int load = 0;
 };
 
-std::optional<announcement> read_announcement(const node& self, const nlohmann::json& body,
-                                              error& reason)
+/** A load that is no usable number counts as none: load reports can mislead. */
+int read_load(const nlohmann::json& body)
+{
+    const auto found = body.find("load");
+    if (found == body.end() || !found->is_number())
+    {
+        return 0;
+    }
+    return static_cast<int>(
+        std::clamp(found->get<double>(), 0.0, static_cast<double>(highest_load)));
+}
+
+std::optional<announcement> read_announcement(const node& self, nlohmann::json body, error& reason)
 {
-    detail::json_reader reader(body, "announcement", error_kind::invalid_argument, reason);
     announcement result;
+    // An odd value must not keep an upstream from being announced.
+    result.load = read_load(body);
+    body.erase("load");
+    detail::json_reader reader(body, "announcement", error_kind::invalid_argument, reason);
     upstream_record& record = result.record;
     record.service = reader.text("service");
     record.version = reader.text("version");
@@ -54,8 +68,6 @@
     record.slots = static_cast<int>(reader.integer("slots", 1, self.config.max_slots));
     record.connections =
         static_cast<int>(reader.integer("connections", 1, self.config.max_connections));
-    // Load reports can mislead, so an odd value must not keep an upstream from being announced.
-    result.load = static_cast<int>(reader.integer_or("load", 0, 0, highest_load));
     const auto state = upstream_state_from(reader.text_or("state", "up"));
     if (!state)
     {
@@ -120,6 +132,7 @@
     upstream.slots.options.connections = record.connections;
     upstream.reported_load = announced->load;
     upstream.lease_until = steady_now() + self.config.lease;
+    set_peer_limit(upstream_client(self, key), record.connections);
     publish_self_record(self);
     return self.config.lease;
 }
@@ -143,6 +156,20 @@
     {
         publish_self_record(self);
     }
+    // Calls outlive a lapsed lease, so a client goes only when nothing runs through it.
+    std::erase_if(
+        self.upstream_clients, [&self](const auto& entry)
+        { return !self.upstreams.contains(entry.first) && running_hops(self, entry.first) == 0; });
+}
+
+http_client& upstream_client(node& self, const std::string& upstream)
+{
+    http_client_ptr& client = self.upstream_clients[upstream];
+    if (!client)
+    {
+        client = open_http_client(*self.loop, {.local_address = self.config.address});
+    }
+    return *client;
 }
 
 upstream_state effective_state(const node& self, const local_upstream& upstream)
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -144,6 +144,8 @@
     time_ms first_peer_answer = 0;
 
     std::map<std::string, local_upstream> upstreams;
+    /** By address and port: a pool per upstream keeps to its announced connections. */
+    std::map<std::string, http_client_ptr> upstream_clients;
     quarantine_table quarantine;
     key_table keys;
 
--- a/support/rig/load.cpp
+++ b/support/rig/load.cpp
@@ -137,7 +137,8 @@
     call.target = number % options.targets.size();
     expected_echo expected{.request_id = call.request_id,
                            .target = options.path + "?n=" + call.request_id};
-    if (has_body(call.method))
+    const bool bodiless = std::bernoulli_distribution(options.bodiless_share)(state.random);
+    if (has_body(call.method) && !bodiless)
     {
         expected.body = "body of " + call.request_id + " ";
         expected.body.resize(std::max(expected.body.size(), options.body_bytes), '.');
--- a/support/rig/load.hpp
+++ b/support/rig/load.hpp
@@ -39,8 +39,10 @@
     std::vector<method_weight> methods{{"GET", 1}};
     /** Least size of the bodies of POST, PUT and PATCH. */
     std::size_t body_bytes = 32;
+    /** Part of the POST, PUT and PATCH calls that have an empty body. */
+    double bodiless_share = 0;
     std::uint64_t seed = 1;
-    /** Changes a call before it is sent, e.g. to add headers; runs on the load's thread. */
+    /** Adds headers to a call before it is sent; runs on the load's thread. */
     std::function<void(http_call& call, std::uint64_t number)> prepare;
 };
 
