Split key handling and call responses out of the ingress

Cause: src/ingress.cpp had 724 lines and several jobs. Change: call_keys.* holds key claims and owner forwarding, call_responses.* the answers made by a daemon.

--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -1,6 +1,8 @@
 #include "ingress.hpp"
 
 #include "call_headers.hpp"
+#include "call_keys.hpp"
+#include "call_responses.hpp"
 #include "endpoints.hpp"
 #include "local_hop.hpp"
 #include "move_runtime.hpp"
@@ -8,8 +10,6 @@
 
 #include "sardinepoint/logging.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -21,9 +21,7 @@
 
 constexpr int most_attempts = 4;
 constexpr std::int64_t us_per_ms = 1000;
-constexpr std::int64_t most_keys_per_request = 1000;
 constexpr double seconds_per_us = 1e-6;
-constexpr std::string_view keys_path = "/.sardinepoint/keys";
 
 /** What an attempt brought, whichever way it went. */
 struct attempt_result
@@ -45,49 +43,12 @@
            method == "OPTIONS" || method == "TRACE";
 }
 
-http_response outcome_response(int status, run_outcome outcome, const error& reason)
-{
-    http_response response = error_response(status, reason);
-    set_header(response.headers, call_headers::outcome, std::string(to_string(outcome)));
-    set_header(response.headers, call_headers::reason, reason.message);
-    return response;
-}
-
-http_response not_run_response(std::string reason, std::string remedy)
-{
-    return outcome_response(503, run_outcome::not_run,
-                            {error_kind::not_ready, std::move(reason), std::move(remedy)});
-}
-
-http_response unknown_response(std::string reason)
-{
-    return outcome_response(504, run_outcome::unknown,
-                            {error_kind::outcome_unknown, std::move(reason),
-                             "ask the service whether the request took effect, or send it again "
-                             "with its Idempotency-Key"});
-}
-
 ingress_call* find_call(node& self, std::uint64_t id)
 {
     const auto found = self.calls.find(id);
     return found == self.calls.end() ? nullptr : found->second.get();
 }
 
-void finish_key(node& self, const ingress_call& call, run_outcome outcome,
-                const http_response& response)
-{
-    if (!call.key)
-    {
-        return;
-    }
-    std::optional<http_response> kept;
-    if (outcome == run_outcome::answered)
-    {
-        kept = response;
-    }
-    finish_call(self.keys, *call.key, outcome, std::move(kept), wall_now());
-}
-
 void answer_call(node& self, std::uint64_t id, run_outcome outcome, http_response response)
 {
     auto entry = self.calls.extract(id);
@@ -128,11 +89,6 @@
                 not_run_response(std::move(reason), "send the request again later"));
 }
 
-time_ms time_left(const ingress_call& call)
-{
-    return call.deadline - steady_now();
-}
-
 /** A new version's server error is worth another try on the old version. */
 bool is_new_version_error(const node& self, const ingress_call& call, const http_response& answer)
 {
@@ -423,126 +379,6 @@
     forward(self, call, pick.spill ? hop_kind::spill : hop_kind::local, timeout);
 }
 
-/** Sends the whole call to the daemon that issued its key. */
-void forward_to_owner(node& self, request_id id, const http_request& request, const endpoint& owner,
-                      time_ms budget)
-{
-    std::vector<http_header> headers = request.headers;
-    std::erase_if(headers,
-                  [](const http_header& header)
-                  {
-                      return is_hop_by_hop(header.name) || equal_header_name(header.name, "Host") ||
-                             equal_header_name(header.name, "Expect");
-                  });
-    set_header(headers, call_headers::hop, std::string(hop_kind::owner));
-    set_header(headers, call_headers::deadline, std::to_string(budget));
-    count(self.stats, "owner_forwards");
-    send_request(*self.data_client,
-                 {.method = request.method,
-                  .url = "http://" + to_string(owner) + request.target,
-                  .headers = std::move(headers),
-                  .body = request.body,
-                  .timeout = budget,
-                  .connect_timeout = std::min<time_ms>(budget, 500),
-                  .repeatable = false},
-                 [&self, id](http_result answer)
-                 {
-                     if (answer.outcome == call_outcome::answered)
-                     {
-                         std::erase_if(answer.response.headers, [](const http_header& header)
-                                       { return is_hop_by_hop(header.name); });
-                         send_reply(*self.data_server, id, std::move(answer.response));
-                         return;
-                     }
-                     // An earlier attempt with this key may have run at its owner.
-                     send_reply(*self.data_server, id,
-                                unknown_response("the daemon that issued the key can't be "
-                                                 "reached: " +
-                                                 answer.reason));
-                 });
-}
-
-/** Data endpoint of the daemon that issued the key; key ids are "id@address:port". */
-std::optional<endpoint> owner_endpoint(const idempotency_key& key)
-{
-    const std::size_t at = key.id.rfind('@');
-    return at == std::string::npos ? std::nullopt : parse_endpoint(key.id.substr(at + 1));
-}
-
-http_response key_response(begin_status status, std::optional<http_response> answer)
-{
-    switch (status)
-    {
-    case begin_status::finished:
-        set_header(answer->headers, call_headers::replayed, "1");
-        return std::move(*answer);
-    case begin_status::finished_answer_dropped:
-        return outcome_response(409, run_outcome::answered,
-                                {error_kind::expired,
-                                 "the request ran, but its answer isn't stored any more",
-                                 "ask the service for the result"});
-    case begin_status::in_progress:
-        return unknown_response("an earlier attempt with this key is still running");
-    case begin_status::outcome_unknown:
-        return unknown_response("an earlier attempt with this key ended without a known outcome");
-    case begin_status::table_full:
-        return not_run_response("too many idempotency keys are in use", "send it again later");
-    case begin_status::other_request:
-        return outcome_response(422, run_outcome::not_run,
-                                {error_kind::invalid_argument,
-                                 "the key was used before with another request",
-                                 "get a new key from " + std::string(keys_path)});
-    case begin_status::run:
-    case begin_status::expired:
-    case begin_status::not_owner:
-    case begin_status::never_issued:
-        break;
-    }
-    return unknown_response("this daemon can't tell whether the key was used (" +
-                            std::string(to_string(status)) + ")");
-}
-
-/** Whether the call may go on; otherwise it has been answered or forwarded. */
-bool claim_key(node& self, ingress_call& call, std::string_view text, std::string_view hop)
-{
-    error reason;
-    const auto key = parse_key(text, reason);
-    if (!key)
-    {
-        reason.remedy = "get keys from " + std::string(keys_path);
-        send_reply(*self.data_server, call.id, outcome_response(400, run_outcome::not_run, reason));
-        return false;
-    }
-    const auto owner = owner_endpoint(*key);
-    if (key->id != self.keys.id && hop != hop_kind::owner && owner)
-    {
-        forward_to_owner(self, call.id, call.request, *owner, time_left(call));
-        return false;
-    }
-    begin_result begun = begin_call(self.keys, *key, wall_now(), call.fingerprint);
-    if (begun.status != begin_status::run)
-    {
-        log_event(log_level::info, "key_decision",
-                  {{"status", to_string(begun.status)}, {"route", call.route}});
-        send_reply(*self.data_server, call.id, key_response(begun.status, std::move(begun.answer)));
-        return false;
-    }
-    call.key = *key;
-    return true;
-}
-
-void answer_keys(node& self, request_id id, const http_request& request)
-{
-    const std::int64_t wanted = query_integer(request.target, "count", 1);
-    nlohmann::json keys = nlohmann::json::array();
-    for (std::int64_t i = 0; i < std::min(wanted, most_keys_per_request); ++i)
-    {
-        keys.push_back(to_string(issue_key(self.keys, wall_now())));
-    }
-    const nlohmann::json body{{"keys", keys}, {"expires_ms", key_lifetime}};
-    send_reply(*self.data_server, id, json_response(200, body.dump()));
-}
-
 std::int64_t header_number(const http_request& request, std::string_view name, std::int64_t other)
 {
     const auto value = find_header(request.headers, name);
@@ -637,6 +473,11 @@
 
 } // namespace
 
+time_ms time_left(const ingress_call& call)
+{
+    return call.deadline - steady_now();
+}
+
 void handle_data_request(node& self, request_id id, http_request request)
 {
     const std::string hop(find_header(request.headers, call_headers::hop).value_or(""));
--- a/src/ingress.hpp
+++ b/src/ingress.hpp
@@ -44,6 +44,9 @@
 /** The caller closed its connection. */
 void handle_data_cancelled(node& self, request_id id);
 
+/** Time until the deadline of a call. */
+time_ms time_left(const ingress_call& call);
+
 /** Calls that are not answered yet. */
 std::size_t calls_in_progress(const node& self);
 
