Close keys after 'not run', prove answers' ends, clear innocent requests, call storm test

Cause, each with a test in call-test, limits-test or idempotency-test: issued keys contain '@' and were refused as malformed; a copy of a keyed request that a partition held back could run after its caller was told 'not run'; a key was not bound to the query; 'not run' was told for a key before its owner was asked; a cancelled request stayed suspended for ever, so its connection leaked and a graceful shutdown waited for its time limit; replies not yet written were not counted as in progress; Sardinepoint headers of an upstream reached the ingress as if they came from its daemon; answers that end with their connection counted as complete; innocent requests in flight at two crashes were quarantined. Change: close_key, the claim comes before any refusal, note_success in the quarantine with bounded spreading, storms of calls in support/rig/call_storm. Also: a retried answer of a new version counts as may have run; a spilled call keeps its first daemon's view of idempotency; kept connections end before the servers' idle timeout.

--- a/include/sardinepoint/idempotency.hpp
+++ b/include/sardinepoint/idempotency.hpp
@@ -52,6 +52,8 @@
     running,
     answered,
     unknown,
+    /** Ended as not run, and the caller was told so. */
+    closed,
 };
 
 struct key_entry
@@ -111,6 +113,8 @@
     other_request,
     /** No room for another entry; the request was not run. */
     table_full,
+    /** The caller was told "not run"; the key never runs. */
+    closed,
 };
 
 std::string_view to_string(begin_status status);
@@ -130,6 +134,12 @@
 void finish_call(key_table& table, const idempotency_key& key, run_outcome outcome,
                  std::optional<http_response> answer, time_ms now);
 
+/**
+ * Ends the attempt as not run for good. A copy of the request that was held up on its way must not
+ * run after the caller was told "not run".
+ */
+void close_key(key_table& table, const idempotency_key& key, time_ms now);
+
 /** Drops entries of expired keys. begin_call does this too. */
 void drop_expired_keys(key_table& table, time_ms now);
 
--- a/include/sardinepoint/limits.hpp
+++ b/include/sardinepoint/limits.hpp
@@ -161,6 +161,8 @@
 
 inline constexpr time_ms quarantine_time = 60'000;
 inline constexpr std::size_t quarantine_upstreams = 2;
+/** Least time between two successes of one request that a daemon spreads. */
+inline constexpr time_ms success_spread_interval = 200;
 
 /** Crashes of upstreams that ran one request. Times are wall clock since entries are spread. */
 struct crash_entry
@@ -169,6 +171,10 @@
     /** Crash count per upstream, written by the upstream's daemon only. */
     std::map<std::string, std::uint32_t> crashes;
     time_ms last_crash = 0;
+    /** When some upstream last answered the request; a later crash makes it suspect again. */
+    time_ms last_success = 0;
+    /** When this daemon last spread a success; not itself spread. */
+    time_ms success_spread = 0;
 };
 
 struct quarantine_table
@@ -182,6 +188,12 @@
 crash_entry record_crash(quarantine_table& table, std::uint64_t fingerprint,
                          std::string_view upstream, time_ms wall_now);
 
+/**
+ * Notes that an upstream answered the request; a request without crashes leaves no trace. True if
+ * the entry should be spread: other daemons may still refuse the request.
+ */
+bool note_success(quarantine_table& table, std::uint64_t fingerprint, time_ms wall_now);
+
 /** Merges an entry of another daemon; true if it told something new. */
 bool merge_crash(quarantine_table& table, const crash_entry& entry, time_ms wall_now);
 
--- a/src/call_keys.cpp
+++ b/src/call_keys.cpp
@@ -30,7 +30,9 @@
                              equal_header_name(header.name, "Expect");
                   });
     set_header(headers, call_headers::hop, std::string(hop_kind::owner));
-    set_header(headers, call_headers::deadline, std::to_string(budget));
+    // The owner's answer must arrive before this daemon gives up.
+    set_header(headers, call_headers::deadline,
+               std::to_string(std::max<time_ms>(1, budget - hop_margin)));
     count(self.stats, "owner_forwards");
     send_request(*self.data_client,
                  {.method = request.method,
@@ -42,7 +44,11 @@
                   .repeatable = false},
                  [&self, id](http_result answer)
                  {
-                     if (answer.outcome == call_outcome::answered)
+                     // Without the header the answer isn't a daemon's answer to this call: another
+                     // process may listen on the port by now.
+                     const bool from_daemon =
+                         find_header(answer.response.headers, call_headers::outcome).has_value();
+                     if (answer.outcome == call_outcome::answered && from_daemon)
                      {
                          std::erase_if(answer.response.headers, [](const http_header& header)
                                        { return is_hop_by_hop(header.name); });
@@ -81,7 +87,11 @@
     case begin_status::outcome_unknown:
         return unknown_response("an earlier attempt with this key ended without a known outcome");
     case begin_status::table_full:
-        return not_run_response("too many idempotency keys are in use", "send it again later");
+        // No entry is kept, so a copy of the request that is still on its way could run later.
+        return unknown_response("too many idempotency keys are in use");
+    case begin_status::closed:
+        return not_run_response("an earlier attempt with this key ended as not run",
+                                "send the request with a new key from " + std::string(keys_path));
     case begin_status::other_request:
         return outcome_response(422, run_outcome::not_run,
                                 {error_kind::invalid_argument,
@@ -115,7 +125,10 @@
         forward_to_owner(self, call.id, call.request, *owner, time_left(call));
         return false;
     }
-    begin_result begun = begin_call(self.keys, *key, wall_now(), call.fingerprint);
+    // The query is part of the request, unlike in the fingerprint for the quarantine.
+    const std::uint64_t fingerprint =
+        request_fingerprint(call.request.method, call.request.target, call.request.body);
+    begin_result begun = begin_call(self.keys, *key, wall_now(), fingerprint);
     if (begun.status != begin_status::run)
     {
         log_event(log_level::info, "key_decision",
@@ -146,6 +159,11 @@
     {
         return;
     }
+    if (outcome == run_outcome::not_run)
+    {
+        close_key(self.keys, *call.key, wall_now());
+        return;
+    }
     std::optional<http_response> kept;
     if (outcome == run_outcome::answered)
     {
--- a/src/crash_json.cpp
+++ b/src/crash_json.cpp
@@ -11,7 +11,10 @@
 
 nlohmann::json to_json(const crash_entry& entry)
 {
-    return {{"f", entry.fingerprint}, {"c", entry.crashes}, {"t", entry.last_crash}};
+    return {{"f", entry.fingerprint},
+            {"c", entry.crashes},
+            {"t", entry.last_crash},
+            {"s", entry.last_success}};
 }
 
 std::optional<crash_entry> crash_from_json(const nlohmann::json& value)
@@ -20,6 +23,7 @@
     detail::json_reader reader(value, "crash entry", error_kind::internal, reason);
     crash_entry entry;
     entry.last_crash = reader.integer("t", 0, std::numeric_limits<time_ms>::max());
+    entry.last_success = reader.integer_or("s", 0, 0, std::numeric_limits<time_ms>::max());
     for (const auto& [upstream, crashes] : reader.object("c").items())
     {
         if (crashes.is_number_unsigned())
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr long longest_idle_s = 30;
+
 struct curl_easy_deleter
 {
     void operator()(CURL* handle) const
@@ -124,12 +126,28 @@
         static_cast<std::uint64_t>(header_size) + sent + call.result.response.body.size();
 }
 
+// An answer that ends with its connection may have been cut off by a crash.
+bool has_proven_end(const http_response& answer, long status)
+{
+    constexpr long no_content = 204;
+    constexpr long not_modified = 304;
+    return answer.body.empty() || status == no_content || status == not_modified ||
+           find_header(answer.headers, "Content-Length") ||
+           find_header(answer.headers, "Transfer-Encoding");
+}
+
 void classify_result(CURL* handle, CURLcode code, http_result& result)
 {
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    if (code == CURLE_OK && !has_proven_end(result.response, status))
+    {
+        result = {.reason = "the end of the answer can't be proved: it has neither a length nor "
+                            "chunks"};
+        return;
+    }
     if (code == CURLE_OK)
     {
-        long status = 0;
-        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         result.outcome = call_outcome::answered;
         result.response.status = static_cast<int>(status);
         return;
@@ -272,6 +290,9 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max<long>(1, call.call.timeout));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      std::max<long>(1, call.call.connect_timeout));
+    // Shorter than the servers' idle timeout: a request that meets a closing connection may or may
+    // not have run.
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, longest_idle_s);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &write_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &write_header);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -51,6 +51,9 @@
     http_server_options options;
     http_server_callbacks callbacks;
     std::unordered_map<std::uint64_t, exchange*> pending;
+    /** Requests of which at least the first line arrived and whose answer isn't sent yet. */
+    std::size_t exchanges = 0;
+    bool closing = false;
     timer_id cancel_timer;
     wait_limit_id wait_limit;
     std::uint64_t last_id = 0;
@@ -72,6 +75,7 @@
     auto created = std::make_unique<exchange>();
     created->id = ++as_server(context).last_id;
     created->request.target = uri;
+    ++as_server(context).exchanges;
     // Owned by the connection; finish_exchange releases it.
     return created.release();
 }
@@ -95,6 +99,10 @@
     {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
     }
+    if (server.closing)
+    {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     const MHD_Result result =
         MHD_queue_response(current.connection, static_cast<unsigned>(answer.status), response);
     MHD_destroy_response(response);
@@ -167,6 +175,7 @@
     {
         return;
     }
+    --server.exchanges;
     const bool unanswered = server.pending.erase(finished->id) > 0;
     if (unanswered && !finished->cancelled && server.callbacks.on_cancelled)
     {
@@ -215,6 +224,8 @@
         {
             server.callbacks.on_cancelled({ids[i]});
         }
+        // A connection that stays suspended is never released and counts as a request in progress.
+        send_reply(server, {ids[i]}, {.status = 503, .headers = {}, .body = {}});
     }
 }
 
@@ -343,9 +354,14 @@
     }
 }
 
+void close_after_answers(http_server& server)
+{
+    server.closing = true;
+}
+
 std::size_t pending_requests(const http_server& server)
 {
-    return server.pending.size();
+    return server.exchanges;
 }
 
 std::size_t open_connections(const http_server& server)
--- a/src/idempotency.cpp
+++ b/src/idempotency.cpp
@@ -48,7 +48,7 @@
 {
     constexpr std::size_t longest = 128;
     constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
-                                         "0123456789._-:";
+                                         "0123456789._-:@";
     return !text.empty() && text.size() <= longest &&
            text.find_first_not_of(allowed) == std::string_view::npos;
 }
@@ -133,6 +133,8 @@
         return {.status = begin_status::in_progress};
     case key_state::unknown:
         return {.status = begin_status::outcome_unknown};
+    case key_state::closed:
+        return {.status = begin_status::closed};
     case key_state::answered:
         break;
     }
@@ -191,9 +193,10 @@
 
 std::string_view to_string(begin_status status)
 {
-    constexpr std::array<std::string_view, 10> names{
+    constexpr std::array<std::string_view, 11> names{
         "run",     "in_progress", "finished",     "finished_answer_dropped", "outcome_unknown",
-        "expired", "not_owner",   "never_issued", "other_request",           "table_full"};
+        "expired", "not_owner",   "never_issued", "other_request",           "table_full",
+        "closed"};
     return names.at(static_cast<std::size_t>(status));
 }
 
@@ -266,6 +269,20 @@
     }
 }
 
+void close_key(key_table& table, const idempotency_key& key, time_ms now)
+{
+    drop_expired_keys(table, now);
+    if (key.id != table.id || key.incarnation != table.incarnation)
+    {
+        return;
+    }
+    const auto position = table.entries.find(key.sequence);
+    if (position != table.entries.end() && position->second.state == key_state::running)
+    {
+        position->second.state = key_state::closed;
+    }
+}
+
 void drop_expired_keys(key_table& table, time_ms now)
 {
     const time_ms latest = advance(table, now);
--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -21,6 +21,8 @@
 
 constexpr int most_attempts = 4;
 constexpr std::int64_t us_per_ms = 1000;
+// For a key that must be forwarded to its owner although no route matches here.
+constexpr time_ms keyed_timeout_ms = 5000;
 constexpr double seconds_per_us = 1e-6;
 
 /** What an attempt brought, whichever way it went. */
@@ -193,6 +195,7 @@
             may_retry(self.retries, steady_now()))
         {
             call->avoid_new_version = true;
+            call->may_have_run = true;
             retry(self, id, false);
             return;
         }
@@ -427,18 +430,18 @@
     }
 }
 
-/** Sets route, service and deadline; false if the call has been answered. */
-bool prepare_call(node& self, ingress_call& call)
+/** Sets the route and limits. Returns the answer if the call can't be run. */
+std::optional<http_response> prepare_call(node& self, ingress_call& call)
 {
     const replica& config = self.config_replica;
     const route* matched = match_route(config.state, path_of(call.request.target));
     if (matched == nullptr)
     {
-        send_reply(*self.data_server, call.id,
-                   outcome_response(404, run_outcome::not_run,
-                                    {error_kind::not_found, "no route matches the path",
-                                     "see 'sardinepoint get' for the routes"}));
-        return false;
+        call.deadline =
+            steady_now() + header_number(call.request, call_headers::deadline, keyed_timeout_ms);
+        return outcome_response(404, run_outcome::not_run,
+                                {error_kind::not_found, "no route matches the path",
+                                 "see 'sardinepoint get' for the routes"});
     }
     call.route = matched->name;
     call.service = matched->service;
@@ -449,13 +452,23 @@
     call.deadline = steady_now() + budget;
     if (call.depth > max_call_depth)
     {
-        send_reply(
-            *self.data_server, call.id,
-            not_run_response("the call chain is deeper than " + std::to_string(max_call_depth),
-                             "look for a loop of calls"));
-        return false;
+        return not_run_response("the call chain is deeper than " + std::to_string(max_call_depth),
+                                "look for a loop of calls");
     }
-    return true;
+    if (!call.spilled)
+    {
+        return std::nullopt;
+    }
+    // The daemon that spilled the call may hold another configuration. Its view of the call decides
+    // whether an attempt may be repeated.
+    call.idempotent =
+        call.idempotent &&
+        find_header(call.request.headers, call_headers::idempotent).value_or("0") == "1";
+    if (find_header(call.request.headers, call_headers::service).value_or("") != call.service)
+    {
+        return not_run_response("the daemons' configurations differ", "choose another upstream");
+    }
+    return std::nullopt;
 }
 
 std::optional<std::string> refusal(const node& self)
@@ -481,12 +494,18 @@
 void handle_data_request(node& self, request_id id, http_request request)
 {
     const std::string hop(find_header(request.headers, call_headers::hop).value_or(""));
+    if (self.leaving)
+    {
+        // A kept connection that closes under a request would leave its outcome unknown.
+        close_after_answers(*self.data_server);
+    }
     if (const auto reason = refusal(self))
     {
         // With a key, an earlier attempt may have run; only its owner can tell.
         const bool keyed = find_header(request.headers, call_headers::key).has_value();
+        const bool claimed = hop == hop_kind::local || hop == hop_kind::spill;
         send_reply(*self.data_server, id,
-                   keyed && hop != hop_kind::local
+                   keyed && !claimed
                        ? unknown_response(*reason)
                        : not_run_response(*reason, "send the request to another daemon"));
         return;
@@ -508,18 +527,20 @@
     call->spilled = hop == hop_kind::spill;
     call->fingerprint = request_fingerprint(call->request.method, path_of(call->request.target),
                                             call->request.body);
-    if (!prepare_call(self, *call))
-    {
-        return;
-    }
+    std::optional<http_response> refused = prepare_call(self, *call);
     const auto key = find_header(call->request.headers, call_headers::key);
     // A spilled call's key was claimed by the daemon that spilled it.
     if (key && !call->spilled && !claim_key(self, *call, std::string(*key), hop))
     {
         return;
     }
-    note_call(self.retries);
     self.calls[id.value] = std::move(call);
+    if (refused)
+    {
+        answer_call(self, id.value, run_outcome::not_run, std::move(*refused));
+        return;
+    }
+    note_call(self.retries);
     begin_attempt(self, id.value);
 }
 
@@ -549,8 +570,11 @@
     {
         cancel_timer(*self.loop, *call->retry_timer);
     }
-    if (endpoint_candidate* candidate =
-            find_candidate(self, call->service, call->version, call->target))
+    // Between two attempts the last one has been counted as ended already.
+    const bool running = call->forwarded || call->local;
+    endpoint_candidate* candidate =
+        running ? find_candidate(self, call->service, call->version, call->target) : nullptr;
+    if (candidate != nullptr)
     {
         note_cancelled(*candidate);
     }
--- a/src/limits.cpp
+++ b/src/limits.cpp
@@ -306,6 +306,25 @@
     return entry;
 }
 
+bool note_success(quarantine_table& table, std::uint64_t fingerprint, time_ms wall_now)
+{
+    const auto position = table.entries.find(fingerprint);
+    if (position == table.entries.end())
+    {
+        return false;
+    }
+    crash_entry& entry = position->second;
+    entry.last_success = std::max(entry.last_success, wall_now);
+    const bool needed =
+        entry.last_success > entry.last_crash && entry.success_spread <= entry.last_crash;
+    if (!needed || wall_now - entry.success_spread < success_spread_interval)
+    {
+        return false;
+    }
+    entry.success_spread = wall_now;
+    return true;
+}
+
 bool merge_crash(quarantine_table& table, const crash_entry& entry, time_ms wall_now)
 {
     if (has_expired(entry, wall_now))
@@ -329,6 +348,9 @@
     const time_ms crashed = std::min(entry.last_crash, wall_now);
     changed = changed || crashed > own.last_crash;
     own.last_crash = std::max(own.last_crash, crashed);
+    const time_ms succeeded = std::min(entry.last_success, wall_now);
+    changed = changed || succeeded > own.last_success;
+    own.last_success = std::max(own.last_success, succeeded);
     return changed;
 }
 
@@ -337,6 +359,7 @@
     const auto position = table.entries.find(fingerprint);
     return position != table.entries.end() &&
            position->second.crashes.size() >= quarantine_upstreams &&
+           position->second.last_success <= position->second.last_crash &&
            !has_expired(position->second, wall_now);
 }
 
--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr time_ms crash_probe_timeout_ms = 200;
+// Several times the delay of a broadcast through a failure domain.
+constexpr time_ms crash_spread_ms = 100;
 constexpr time_ms upstream_connect_timeout_ms = 500;
 
 int in_flight_of(const node& self, const std::string& upstream)
@@ -111,10 +113,34 @@
                          self.upstreams.erase(upstream);
                          publish_self_record(self);
                      }
-                     finish(self, id, std::move(ended));
+                     // Holds the answer back until the entry has reached the failure domain: a
+                     // caller that sends the request again at once must not find a daemon without
+                     // it.
+                     const time_ms delay = ended.crashed.empty() ? 0 : crash_spread_ms;
+                     run_after(*self.loop, delay, [&self, id, ended] { finish(self, id, ended); });
                  });
 }
 
+bool is_project_header(std::string_view name)
+{
+    constexpr std::string_view prefix = "Sardinepoint-";
+    return equal_header_name(name.substr(0, prefix.size()), prefix);
+}
+
+void note_upstream_success(node& self, std::uint64_t id)
+{
+    const auto found = self.hops.find(id);
+    if (found == self.hops.end())
+    {
+        return;
+    }
+    const std::uint64_t fingerprint = found->second->request.fingerprint;
+    if (note_success(self.quarantine, fingerprint, wall_now()))
+    {
+        spread_crash(self, fingerprint);
+    }
+}
+
 void handle_upstream_answer(node& self, std::uint64_t id, http_result answer)
 {
     hop_result result{.reason = answer.reason};
@@ -122,6 +148,10 @@
     {
         result.outcome = run_outcome::answered;
         result.response = std::move(answer.response);
+        // An upstream may copy the headers of a nested call's answer; they prove nothing here.
+        std::erase_if(result.response.headers,
+                      [](const http_header& header) { return is_project_header(header.name); });
+        note_upstream_success(self, id);
         finish(self, id, std::move(result));
         return;
     }
@@ -175,6 +205,14 @@
                             { handle_upstream_answer(self, id, std::move(answer)); });
 }
 
+bool is_queued(const node& self, const hop_call& hop)
+{
+    const auto upstream = self.upstreams.find(hop.upstream);
+    return upstream != self.upstreams.end() &&
+           std::ranges::any_of(upstream->second.slots.waiting,
+                               [&](const waiting_call& waiting) { return waiting.call == hop.id; });
+}
+
 } // namespace
 
 std::uint64_t run_local(node& self, hop_request request, hop_callback done)
@@ -254,7 +292,8 @@
     std::vector<std::uint64_t> orphaned;
     for (const auto& [id, hop] : self.hops)
     {
-        if (!hop->holds_slot && !self.upstreams.contains(hop->upstream))
+        // The queue is lost when the upstream is announced anew after a crash.
+        if (!hop->holds_slot && !is_queued(self, *hop))
         {
             orphaned.push_back(id);
         }
--- /dev/null
+++ b/support/measure_calls.cpp
@@ -0,0 +1,112 @@
+// Measures what at-most-once calls cost and what they guarantee: storms of calls under faults, and
+// the key table alone.
+
+#include "rig/call_storm.hpp"
+
+#include "sardinepoint/idempotency.hpp"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+using namespace sardinepoint;
+
+namespace
+{
+
+constexpr const char* usage = R"(Measures calls under faults.
+
+Usage:
+  measure_calls [options]
+
+Options:
+  --calls=N    Calls per storm [default: 10000].
+  --seeds=N    Storms of each kind [default: 3].
+  --first=N    First seed [default: 1].
+  --keys=N     Keys for the key table alone [default: 100000].
+)";
+
+struct storm_kind
+{
+    const char* name;
+    bool keyed;
+    rig::storm_faults faults;
+};
+
+const storm_kind storm_kinds[] = {
+    {"keyed, all faults", true, {}},
+    {"no keys, all faults", false, {}},
+    {"keyed, daemon restarts", true, {false, true, false, false, false}},
+    {"keyed, daemon kills", true, {true, false, false, false, false}},
+    {"keyed, partitions", true, {false, false, false, false, true}},
+};
+
+void print_storm(const storm_kind& kind, std::uint64_t seed, const rig::storm_counts& counts)
+{
+    const double unknown_share =
+        100.0 * static_cast<double>(counts.unknown) / static_cast<double>(counts.calls);
+    std::cout << fmt::format("| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} ({:.2f}%) |",
+                             kind.name, seed, counts.calls, counts.faults, counts.run_twice,
+                             counts.not_run_but_ran, counts.mixed_up, counts.answered,
+                             counts.not_run, counts.unknown, unknown_share)
+              << std::endl;
+}
+
+void measure_keys(std::size_t count)
+{
+    using clock = std::chrono::steady_clock;
+    key_table table{.id = "vm-1@127.0.0.1:7000", .incarnation = 42};
+    table.options.max_entries = count;
+    const std::uint64_t before = rig::resident_bytes(::getpid());
+    const auto started = clock::now();
+    constexpr time_ms now = 1'000'000;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const idempotency_key key = issue_key(table, now);
+        begin_call(table, key, now, i);
+        finish_call(table, key, run_outcome::answered, http_response{.body = "{}"}, now);
+    }
+    const double elapsed_ns =
+        std::chrono::duration<double, std::nano>(clock::now() - started).count();
+    const std::uint64_t used = rig::resident_bytes(::getpid()) - before;
+    const auto keys = static_cast<double>(count);
+    std::cout << fmt::format("\n{} keys with a stored answer of 2 bytes: {:.0f} bytes per key, "
+                             "{:.0f} ns per key (issue, begin, finish)\n",
+                             count, static_cast<double>(used) / keys, elapsed_ns / keys);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    measure_keys(static_cast<std::size_t>(args["--keys"].asLong()));
+    const std::string build_dir =
+        std::filesystem::canonical("/proc/self/exe").parent_path().string();
+    const auto first = static_cast<std::uint64_t>(args["--first"].asLong());
+    const auto seeds = static_cast<std::uint64_t>(args["--seeds"].asLong());
+    std::cout << "\n| calls | seed | calls | faults | run twice | \"not run\" but ran | mixed up | "
+                 "answered | not run | unknown |\n"
+                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+              << std::endl;
+    for (const storm_kind& kind : storm_kinds)
+    {
+        for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+        {
+            const rig::storm_counts counts =
+                rig::run_storm({.build_dir = build_dir,
+                                .seed = seed,
+                                .calls = static_cast<std::uint64_t>(args["--calls"].asLong()),
+                                .keyed = kind.keyed,
+                                .faults = kind.faults});
+            print_storm(kind, seed, counts);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/support/rig/call_storm.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "rig/mesh.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sardinepoint::rig
+{
+
+/** Which faults hit the system while the calls run. */
+struct storm_faults
+{
+    bool daemon_kills = true;
+    bool daemon_restarts = true;
+    bool upstream_kills = true;
+    bool freezes = true;
+    bool partitions = true;
+};
+
+struct storm_options
+{
+    std::string build_dir;
+    std::uint64_t seed = 1;
+    std::uint64_t calls = 10'000;
+    /** Calls in progress at the same time. */
+    int callers = 48;
+    bool keyed = true;
+    storm_faults faults;
+    /** Calls end early when the time is up. */
+    time_ms limit = 60'000;
+};
+
+/** Counts over all calls of a storm; the runs are counted at the upstreams. */
+struct storm_counts
+{
+    std::uint64_t calls = 0;
+    std::uint64_t submissions = 0;
+    std::uint64_t answered = 0;
+    /** Calls that ended as "not run" and were not sent again. */
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t run_twice = 0;
+    std::uint64_t not_run_but_ran = 0;
+    std::uint64_t answered_but_not_run = 0;
+    std::uint64_t mixed_up = 0;
+    std::uint64_t faults = 0;
+};
+
+/**
+ * Sends non-idempotent calls to three failure domains while faults hit them. A keyed call is sent
+ * again with its key to another daemon after a timeout or an unknown outcome, and with a new key
+ * after "not run"; a call without key only after "not run".
+ */
+storm_counts run_storm(const storm_options& options);
+
+} // namespace sardinepoint::rig
--- a/support/rig/mesh.cpp
+++ b/support/rig/mesh.cpp
@@ -205,6 +205,10 @@
                           "--connections=" + std::to_string(options.connections),
                           "--work-ms=" + std::to_string(options.work),
                           "--announce-ms=" + std::to_string(options.announce_interval)};
+    if (!options.runs_file.empty())
+    {
+        upstream.arguments.push_back("--runs-file=" + options.runs_file);
+    }
     this->restart(upstream);
     return upstream;
 }
--- a/support/rig/mesh.hpp
+++ b/support/rig/mesh.hpp
@@ -94,6 +94,8 @@
     int connections = 130;
     time_ms work = 5;
     time_ms announce_interval = 300;
+    /** Each run's Request-Id is appended to this file; empty: none. */
+    std::string runs_file;
 };
 
 /** Processes of a whole system on this machine. */
--- a/support/standin_upstream.cpp
+++ b/support/standin_upstream.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <random>
@@ -37,6 +38,7 @@
   --connections=N       Connections that are accepted [default: 130].
   --work-ms=N           Time that one call takes [default: 5].
   --announce-ms=N       Interval of the announcements [default: 500].
+  --runs-file=PATH      Append the Request-Id of each run to this file.
 )";
 
 /** How the upstream misbehaves. */
@@ -78,6 +80,8 @@
     std::set<std::uint64_t> active;
     /** How often each request with a Request-Id header ran. */
     std::map<std::string, int> runs;
+    /** Keeps the runs of a stand-in that is killed. */
+    std::ofstream runs_file;
     behaviour behave;
     std::mt19937_64 random{std::random_device{}()};
 };
@@ -149,6 +153,10 @@
     if (const auto name = find_header(request.headers, "Request-Id"))
     {
         ++self.runs[std::string(*name)];
+        if (self.runs_file.is_open())
+        {
+            self.runs_file << *name << std::endl;
+        }
     }
     self.over_slots += self.running >= self.slots ? 1 : 0;
     ++self.running;
@@ -246,6 +254,10 @@
     self.slots = static_cast<int>(args["--slots"].asLong());
     self.connections = static_cast<int>(args["--connections"].asLong());
     self.behave.work = args["--work-ms"].asLong();
+    if (args["--runs-file"])
+    {
+        self.runs_file.open(args["--runs-file"].asString(), std::ios::app);
+    }
     error reason;
     self.server = open_http_server(
         *loop,
--- /dev/null
+++ b/test/call-test.cpp
@@ -0,0 +1,505 @@
+#define BOOST_TEST_MODULE call
+#include <boost/test/unit_test.hpp>
+
+#include "rig/call_storm.hpp"
+#include "rig/mesh.hpp"
+
+#include "sardinepoint/limits.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <random>
+#include <thread>
+
+using namespace sardinepoint;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr time_ms start_limit_ms = 10000;
+
+std::string outcome_of(const http_result& answer)
+{
+    return std::string(find_header(answer.response.headers, "Sardinepoint-Outcome").value_or(""));
+}
+
+void check_storm(bool keyed, std::uint64_t calls, time_ms limit)
+{
+    const std::uint64_t seed = std::random_device{}() % 100'000;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    const rig::storm_counts counts = rig::run_storm({.build_dir = SARDINEPOINT_BIN_DIR,
+                                                     .seed = seed,
+                                                     .calls = calls,
+                                                     .keyed = keyed,
+                                                     .limit = limit});
+    BOOST_TEST_MESSAGE("calls " << counts.calls << ", submissions " << counts.submissions
+                                << ", faults " << counts.faults << ", answered " << counts.answered
+                                << ", not run " << counts.not_run << ", unknown "
+                                << counts.unknown);
+    BOOST_TEST(counts.calls == calls);
+    BOOST_TEST(counts.faults > 10U);
+    BOOST_TEST(counts.answered > calls / 2);
+    BOOST_TEST(counts.run_twice == 0U);
+    BOOST_TEST(counts.not_run_but_ran == 0U);
+    BOOST_TEST(counts.answered_but_not_run == 0U);
+    BOOST_TEST(counts.mixed_up == 0U);
+}
+
+/** One failure domain in which every VM has a daemon and an upstream. */
+struct one_domain
+{
+    rig::mesh mesh{{.build_dir = SARDINEPOINT_BIN_DIR, .name = "call"}};
+
+    void start(std::size_t count, const rig::upstream_options& options = {})
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            this->mesh.add_upstream(this->mesh.add_daemon("vm-" + std::to_string(i), "tallinn-a"),
+                                    options);
+        }
+        BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+        BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", count, start_limit_ms));
+        this->publish();
+    }
+
+    void publish()
+    {
+        BOOST_REQUIRE(this->mesh.submit(
+                          this->mesh.daemons[0], 0,
+                          rig::service_operations("duty-board", "v1", "/duty"))["status"] == 200);
+        BOOST_REQUIRE(this->mesh.wait_version(1, start_limit_ms));
+    }
+
+    std::string new_key(std::size_t daemon)
+    {
+        const json body =
+            rig::get_json(this->mesh.daemons[daemon].data, "/.sardinepoint/keys?count=1");
+        BOOST_REQUIRE(body.is_object());
+        return body["keys"][0];
+    }
+
+    http_result post(std::size_t daemon, const std::string& body, const std::string& key = "",
+                     const std::string& target = "/duty/crew")
+    {
+        http_call call{
+            .method = "POST", .headers = {{"Request-Id", body}}, .body = body, .repeatable = false};
+        if (!key.empty())
+        {
+            call.headers.push_back({"Idempotency-Key", key});
+        }
+        return rig::call(this->mesh.daemons[daemon].data, call, target);
+    }
+
+    void behave(std::size_t upstream, const json& behaviour)
+    {
+        rig::post_json(this->mesh.upstreams[upstream].address, "/standin/behaviour", behaviour);
+    }
+
+    json stats(std::size_t upstream)
+    {
+        return rig::get_json(this->mesh.upstreams[upstream].address, "/standin/stats");
+    }
+};
+
+/** Upstream on a raw socket: a script writes the answer to each request. */
+class raw_upstream
+{
+public:
+    using script = std::function<void(int fd, const std::string& request, int number)>;
+
+    raw_upstream(const std::string& ip, script answer)
+        : answer(std::move(answer)), listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+        socklen_t length = sizeof address;
+        BOOST_REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+        BOOST_REQUIRE(::listen(this->listener, SOMAXCONN) == 0);
+        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+        this->where = {ip, ntohs(address.sin_port)};
+        this->server = std::thread([this] { this->serve(); });
+    }
+
+    ~raw_upstream()
+    {
+        this->stopping = true;
+        this->server.join();
+        ::close(this->listener);
+    }
+
+    raw_upstream(const raw_upstream&) = delete;
+    raw_upstream& operator=(const raw_upstream&) = delete;
+
+    /** Announces itself once, with a long lease. */
+    void announce(const rig::daemon_node& daemon) const
+    {
+        const json body{
+            {"service", "duty-board"},  {"version", "v1"}, {"address", this->where.address},
+            {"port", this->where.port}, {"slots", 15},     {"connections", 130}};
+        BOOST_REQUIRE(rig::post_json(daemon.control, "/v1/announce", body)["status"] == 200);
+    }
+
+    std::atomic<int> requests{0};
+
+private:
+    void serve()
+    {
+        std::vector<pollfd> polled{{this->listener, POLLIN, 0}};
+        std::vector<std::string> buffers{""};
+        while (!this->stopping)
+        {
+            constexpr int poll_ms = 10;
+            ::poll(polled.data(), polled.size(), poll_ms);
+            if ((polled[0].revents & POLLIN) != 0)
+            {
+                polled.push_back({::accept(this->listener, nullptr, nullptr), POLLIN, 0});
+                buffers.emplace_back();
+            }
+            for (std::size_t i = 1; i < polled.size(); ++i)
+            {
+                if (polled[i].fd >= 0 && (polled[i].revents & (POLLIN | POLLHUP)) != 0 &&
+                    !this->read_from(polled[i].fd, buffers[i]))
+                {
+                    ::close(polled[i].fd);
+                    polled[i].fd = -1;
+                }
+            }
+        }
+        for (std::size_t i = 1; i < polled.size(); ++i)
+        {
+            ::close(polled[i].fd);
+        }
+    }
+
+    /** False once the connection has ended. */
+    bool read_from(int fd, std::string& buffer)
+    {
+        std::array<char, 65536> chunk{};
+        const ssize_t length = ::recv(fd, chunk.data(), chunk.size(), 0);
+        if (length <= 0)
+        {
+            return false;
+        }
+        buffer.append(chunk.data(), static_cast<std::size_t>(length));
+        const std::size_t end = buffer.find("\r\n\r\n");
+        if (end == std::string::npos)
+        {
+            return true;
+        }
+        const std::size_t field = buffer.find("Content-Length: ");
+        const std::size_t body =
+            field < end ? std::stoul(buffer.substr(field + 16)) : std::size_t{0};
+        if (buffer.size() < end + 4 + body)
+        {
+            return true;
+        }
+        const std::string request = buffer.substr(0, end + 4 + body);
+        buffer.erase(0, request.size());
+        this->answer(fd, request, ++this->requests);
+        return true;
+    }
+
+    script answer;
+    int listener;
+    endpoint where;
+    std::atomic<bool> stopping{false};
+    std::thread server;
+};
+
+void write_text(int fd, const std::string& text)
+{
+    (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+std::string body_of(const std::string& request)
+{
+    return request.substr(request.find("\r\n\r\n") + 4);
+}
+
+std::string complete_answer(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a keyed request that runs twice, or runs although its caller was told otherwise.
+BOOST_AUTO_TEST_CASE(keyed_calls_run_at_most_once_under_faults)
+{
+    check_storm(true, 10'000, 40'000);
+}
+
+// Guards against a request without a key that is sent to an upstream twice.
+BOOST_AUTO_TEST_CASE(calls_without_keys_run_at_most_once_under_faults)
+{
+    check_storm(false, 10'000, 40'000);
+}
+
+// Guards against issued keys that daemons refuse, and a second run through another daemon.
+BOOST_FIXTURE_TEST_CASE(key_runs_once_through_any_daemon, one_domain)
+{
+    this->start(2);
+    const std::string key = this->new_key(0);
+    const http_result first = this->post(1, "crew 1", key);
+    const http_result second = this->post(0, "crew 1", key);
+    BOOST_TEST(outcome_of(first) == "answered");
+    BOOST_TEST(outcome_of(second) == "answered");
+    BOOST_TEST(first.response.body == second.response.body);
+    BOOST_TEST(this->stats(0)["calls"].get<int>() + this->stats(1)["calls"].get<int>() == 1);
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", key, "/duty/crew?other=1")) == "not-run");
+}
+
+// Guards against a delayed copy of a keyed request that runs after its caller was told "not run".
+BOOST_FIXTURE_TEST_CASE(not_run_is_final_for_a_key, one_domain)
+{
+    this->start(1);
+    const std::string key = this->new_key(0);
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", key, "/elsewhere")) == "not-run");
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", key, "/elsewhere")) == "not-run");
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", this->new_key(0))) == "answered");
+}
+
+// Guards against "not run" for a key whose owner has gone: it may have run there.
+BOOST_FIXTURE_TEST_CASE(key_of_a_gone_or_restarted_owner_is_unknown, one_domain)
+{
+    this->start(2);
+    const std::string key = this->new_key(0);
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", key)) == "answered");
+    this->mesh.daemons[0].running->signal(SIGKILL);
+    BOOST_REQUIRE(
+        rig::wait_until(start_limit_ms, [&] { return !this->mesh.daemons[0].running->running(); }));
+    BOOST_TEST(outcome_of(this->post(1, "crew 1", key)) == "unknown");
+    this->mesh.restart(this->mesh.daemons[0]);
+    BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", key)) == "unknown");
+    BOOST_TEST(outcome_of(this->post(1, "crew 1", key)) == "unknown");
+}
+
+// Guards against truncated or crossed answers that are passed on as complete.
+BOOST_FIXTURE_TEST_CASE(broken_answers_are_unknown_and_never_crossed, one_domain)
+{
+    this->mesh.add_daemon("vm-0", "tallinn-a");
+    BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+    this->publish();
+    raw_upstream upstream(
+        "127.0.0.1",
+        [](int fd, const std::string& request, int)
+        {
+            const std::string body = body_of(request);
+            if (body == "short")
+            {
+                write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+                ::shutdown(fd, SHUT_RDWR);
+            }
+            else if (body == "chunked")
+            {
+                write_text(fd,
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+                ::shutdown(fd, SHUT_RDWR);
+            }
+            else if (body == "endless")
+            {
+                write_text(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+                ::shutdown(fd, SHUT_RDWR);
+            }
+            else if (body == "late")
+            {
+                std::thread(
+                    [fd = ::dup(fd)]
+                    {
+                        rig::pause(300);
+                        write_text(fd, complete_answer("late"));
+                        ::close(fd);
+                    })
+                    .detach();
+            }
+            else if (body == "twice")
+            {
+                write_text(fd, complete_answer("twice") + complete_answer("extra"));
+            }
+            else if (body == "claims")
+            {
+                write_text(fd, "HTTP/1.1 503 No\r\nSardinepoint-Outcome: not-run\r\n"
+                               "Sardinepoint-Crash: x\r\nContent-Length: 0\r\n\r\n");
+            }
+            else
+            {
+                write_text(fd, complete_answer(body));
+            }
+        });
+    for (const char* broken : {"short", "chunked", "endless"})
+    {
+        upstream.announce(this->mesh.daemons[0]);
+        BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 1, start_limit_ms));
+        const int before = upstream.requests;
+        BOOST_TEST_CONTEXT(broken)
+        {
+            BOOST_TEST(outcome_of(this->post(0, broken)) == "unknown");
+            BOOST_TEST(upstream.requests == before + 1);
+        }
+    }
+    upstream.announce(this->mesh.daemons[0]);
+    http_call late{.method = "POST",
+                   .headers = {{"Sardinepoint-Deadline-Ms", "150"}},
+                   .body = "late",
+                   .repeatable = false};
+    BOOST_TEST(outcome_of(rig::call(this->mesh.daemons[0].data, late, "/duty/a")) == "unknown");
+    for (int i = 0; i < 50; ++i)
+    {
+        upstream.announce(this->mesh.daemons[0]);
+        const std::string body = i % 5 == 0 ? "twice" : "body " + std::to_string(i);
+        const http_result answer = this->post(0, body);
+        BOOST_TEST(outcome_of(answer) == "answered");
+        BOOST_TEST(answer.response.body == body);
+    }
+    const http_result claims = this->post(0, "claims");
+    BOOST_TEST(outcome_of(claims) == "answered");
+    BOOST_TEST(claims.response.status == 503);
+}
+
+// Guards against cancellation that doesn't reach the upstream and connections that leak.
+BOOST_FIXTURE_TEST_CASE(abandoned_call_is_cancelled_without_key_and_kept_with_key, one_domain)
+{
+    this->start(2, {.work = 400});
+    constexpr time_ms patience_ms = 100;
+    const std::string key = this->new_key(0);
+    http_call call{.method = "POST", .body = "x", .timeout = patience_ms, .repeatable = false};
+    for (int i = 0; i < 4; ++i)
+    {
+        rig::call(this->mesh.daemons[0].data, call, "/duty/a");
+    }
+    const auto cancelled = [&]
+    {
+        return this->stats(0)["cancelled"].get<int>() + this->stats(1)["cancelled"].get<int>();
+    };
+    BOOST_TEST(rig::wait_until(start_limit_ms, [&] { return cancelled() == 4; }));
+    call.headers = {{"Idempotency-Key", key}};
+    rig::call(this->mesh.daemons[1].data, call, "/duty/a");
+    call.timeout = start_limit_ms;
+    BOOST_TEST(rig::wait_until(start_limit_ms,
+                               [&] {
+                                   return outcome_of(rig::call(this->mesh.daemons[1].data, call,
+                                                               "/duty/a")) == "answered";
+                               }));
+    BOOST_TEST(cancelled() == 4);
+    for (rig::daemon_node& daemon : this->mesh.daemons)
+    {
+        const time_ms asked = steady_now();
+        daemon.running->signal(SIGTERM);
+        BOOST_TEST(daemon.running->wait() == 0);
+        constexpr time_ms idle_shutdown_ms = 2000;
+        BOOST_TEST(steady_now() - asked < idle_shutdown_ms);
+    }
+}
+
+// Guards against a shutdown that cuts calls in progress or leaves new ones without an outcome.
+BOOST_FIXTURE_TEST_CASE(graceful_shutdown_cuts_no_call, one_domain)
+{
+    this->start(2, {.work = 300});
+    const std::string key = this->new_key(0);
+    std::vector<std::future<http_result>> running;
+    for (int i = 0; i < 20; ++i)
+    {
+        running.push_back(
+            std::async(std::launch::async, [this, i] { return this->post(0, std::to_string(i)); }));
+    }
+    const auto in_progress = [&]
+    {
+        return this->stats(0)["running"].get<int>() + this->stats(1)["running"].get<int>();
+    };
+    BOOST_REQUIRE(rig::wait_until(start_limit_ms, [&] { return in_progress() == 20; }));
+    this->mesh.daemons[0].running->signal(SIGTERM);
+    const auto refused = [&]
+    {
+        return outcome_of(this->post(0, "late")) == "not-run";
+    };
+    BOOST_TEST(rig::wait_until(start_limit_ms, refused));
+    BOOST_TEST(outcome_of(this->post(1, "elsewhere")) == "answered");
+    for (std::future<http_result>& call : running)
+    {
+        BOOST_TEST(outcome_of(call.get()) == "answered");
+    }
+    BOOST_TEST(this->mesh.daemons[0].running->wait() == 0);
+}
+
+// Guards against a request that takes down one upstream after the other, and against the
+// quarantine of popular requests that were only in flight on a crashing upstream.
+BOOST_FIXTURE_TEST_CASE(crashing_request_takes_two_upstreams_and_no_innocent_request, one_domain)
+{
+    this->start(5);
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        this->behave(i, {{"crash_body", "poison"}, {"work_ms", 20}});
+    }
+    std::atomic<bool> stopping{false};
+    std::atomic<int> quarantined{0};
+    std::atomic<int> answered{0};
+    std::vector<std::jthread> popular;
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        popular.emplace_back(
+            [&, i]
+            {
+                while (!stopping)
+                {
+                    const http_result got = rig::call(this->mesh.daemons[i].data, {}, "/duty/all");
+                    answered += outcome_of(got) == "answered" ? 1 : 0;
+                    quarantined +=
+                        got.response.body.find("quarantined") != std::string::npos ? 1 : 0;
+                }
+            });
+    }
+    BOOST_REQUIRE(rig::wait_until(start_limit_ms, [&] { return answered > 50; }));
+    for (std::size_t i = 0; i < 30; ++i)
+    {
+        this->post(i % 5, "poison");
+    }
+    const int before = answered;
+    BOOST_TEST(rig::wait_until(start_limit_ms, [&] { return answered > before + 50; }));
+    const int refused_before = quarantined;
+    const int after = answered;
+    BOOST_TEST(rig::wait_until(start_limit_ms, [&] { return answered > after + 100; }));
+    BOOST_TEST(quarantined == refused_before);
+    stopping = true;
+    popular.clear();
+    const auto lost = std::ranges::count_if(this->mesh.upstreams, [](rig::upstream_node& upstream)
+                                            { return !upstream.running->running(); });
+    BOOST_TEST_MESSAGE("popular calls answered " << answered << ", refused " << quarantined);
+    BOOST_TEST(lost == 2);
+    BOOST_TEST(quarantined < 10);
+}
+
+// Guards against retries that multiply the load when every upstream fails.
+BOOST_FIXTURE_TEST_CASE(attempts_stay_bounded_when_everything_fails, one_domain)
+{
+    this->mesh.add_daemon("vm-0", "tallinn-a");
+    BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
+    this->publish();
+    raw_upstream upstream("127.0.0.1",
+                          [](int fd, const std::string&, int) { ::shutdown(fd, SHUT_RDWR); });
+    constexpr int calls = 400;
+    const time_ms started = steady_now();
+    for (int i = 0; i < calls; ++i)
+    {
+        if (i % 20 == 0)
+        {
+            upstream.announce(this->mesh.daemons[0]);
+            BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 1, start_limit_ms));
+        }
+        rig::call(this->mesh.daemons[0].data, {}, "/duty/" + std::to_string(i));
+    }
+    // A fifth of the calls, a burst of 20, and one retry per second.
+    const auto seconds = static_cast<int>((steady_now() - started) / 1000 + 1);
+    BOOST_TEST_MESSAGE("attempts " << upstream.requests << " for " << calls << " calls");
+    BOOST_TEST(upstream.requests <= calls + calls / 5 + 20 + seconds);
+}
--- a/test/idempotency-test.cpp
+++ b/test/idempotency-test.cpp
@@ -47,6 +47,7 @@
 const key_text_case key_texts[] = {
     {"an id with dots is split wrongly", "a.b.c.42.1000.7", true},
     {"a plain key is refused", "a.42.1000.0", true},
+    {"the key of a daemon is refused", "vm-1@10.0.0.1:7000.42.1000.7", true},
     {"a field is missing", "42.1000.7", false},
     {"the id is empty", ".42.1000.7", false},
     {"a leading zero gives one key two texts", "a.42.1000.07", false},
@@ -113,6 +114,19 @@
     BOOST_TEST(begin_call(table, key, start).status == begin_status::run);
 }
 
+// Guards against a delayed copy of a request that runs after its caller was told "not run".
+BOOST_AUTO_TEST_CASE(a_closed_key_never_runs)
+{
+    key_table table = make_table();
+    const idempotency_key key = issue_key(table, start);
+    BOOST_TEST(begin_call(table, key, start).status == begin_status::run);
+    close_key(table, key, start);
+    BOOST_TEST(begin_call(table, key, start + 1).status == begin_status::closed);
+    finish_call(table, key, run_outcome::not_run, {}, start);
+    BOOST_TEST(begin_call(table, key, start + 1).status == begin_status::closed);
+    BOOST_TEST(begin_call(table, key, start + key_lifetime).status == begin_status::expired);
+}
+
 // Guards against running a call again whose first attempt may have run.
 BOOST_AUTO_TEST_CASE(an_unknown_outcome_stays_unknown)
 {
--- a/test/limits-test.cpp
+++ b/test/limits-test.cpp
@@ -274,6 +274,56 @@
     BOOST_TEST(!is_quarantined(table, 7, 1000 + quarantine_time));
 }
 
+// Guards against the quarantine of popular requests that were only in flight on crashing upstreams.
+BOOST_AUTO_TEST_CASE(a_success_after_the_last_crash_ends_the_quarantine)
+{
+    quarantine_table table;
+    BOOST_TEST(!note_success(table, 7, 500));
+    BOOST_TEST(table.entries.empty());
+    record_crash(table, 7, "a", 1000);
+    record_crash(table, 7, "b", 1000);
+    BOOST_TEST(!note_success(table, 7, 1000));
+    BOOST_TEST(is_quarantined(table, 7, 1000));
+    BOOST_TEST(note_success(table, 7, 1001));
+    BOOST_TEST(!is_quarantined(table, 7, 1001));
+    record_crash(table, 7, "c", 1002);
+    BOOST_TEST(is_quarantined(table, 7, 1002));
+}
+
+// Guards against a broadcast for each success of a popular request.
+BOOST_AUTO_TEST_CASE(successes_are_spread_at_a_bounded_rate)
+{
+    quarantine_table table;
+    int spread = 0;
+    constexpr time_ms duration = 10'000;
+    for (time_ms now = 1; now <= duration; ++now)
+    {
+        record_crash(table, 7, "a", now - 1);
+        spread += note_success(table, 7, now) ? 1 : 0;
+    }
+    BOOST_TEST(spread > 0);
+    BOOST_TEST(spread <= duration / success_spread_interval + 1);
+}
+
+// Guards against a success that other daemons don't learn, and one from the future.
+BOOST_AUTO_TEST_CASE(merging_takes_the_latest_success)
+{
+    quarantine_table left;
+    quarantine_table right;
+    record_crash(left, 7, "a", 1000);
+    record_crash(left, 7, "b", 1000);
+    merge_crash(right, left.entries.at(7), 1000);
+    BOOST_TEST(is_quarantined(right, 7, 1100));
+    note_success(left, 7, 1200);
+    BOOST_TEST(merge_crash(right, left.entries.at(7), 1300));
+    BOOST_TEST(!merge_crash(right, left.entries.at(7), 1300));
+    BOOST_TEST(!is_quarantined(right, 7, 1300));
+    crash_entry ahead = left.entries.at(7);
+    ahead.last_success = 900'000;
+    merge_crash(right, ahead, 1400);
+    BOOST_TEST(right.entries.at(7).last_success == 1400);
+}
+
 // Guards against growth without bound when many different requests crash upstreams.
 BOOST_AUTO_TEST_CASE(quarantine_is_bounded_and_keeps_the_newest)
 {
