--- a/src/move_runtime.cpp
+++ b/src/move_runtime.cpp
@@ -1,6 +1,7 @@
 #include "move_runtime.hpp"
 
 #include "move_json.hpp"
+#include "peer_messages.hpp"
 #include "peering.hpp"
 #include "replica.hpp"
 
@@ -381,12 +382,6 @@
     return found != message.end() && found->is_object() ? *found : json::object();
 }
 
-std::string text_in(const json& message, const char* key)
-{
-    const auto found = message.find(key);
-    return found != message.end() && found->is_string() ? found->get<std::string>() : "";
-}
-
 move_evidence evidence_by_name(const json& values)
 {
     move_evidence evidence;
