--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -321,9 +321,8 @@
     std::cout << "members\n";
     for (const json& member : body.value("members", json::array()))
     {
-        std::cout << fmt::format("  {:<16} {:<14} {:<9} version {}\n", member.value("id", ""),
-                                 member.value("domain", ""), member.value("state", ""),
-                                 member.value("served_version", 0ULL));
+        std::cout << fmt::format("  {:<16} {:<14} {:<9}\n", member.value("id", ""),
+                                 member.value("domain", ""), member.value("state", ""));
         for (const json& upstream : member.value("upstreams", json::array()))
         {
             std::cout << fmt::format("    {} {} {} slots {}\n", upstream.value("service", ""),
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -71,7 +71,8 @@
             {"domain", record.domain},
             {"state", to_string(record.state)},
             {"control", to_string(control_endpoint(record))},
-            {"served_version", record.served_version},
+            // A lower bound: the record is not published again for each new version.
+            {"version_at_least", record.served_version},
             {"upstreams", std::move(upstreams)}};
 }
 
