Keep the announcements of gateways within the log's retention

Cause: a daemon announced itself once at start. After the log had expired that record, a daemon that started found no peer and stayed alone in its failure domain; a restart of a large domain pushed all other announcements out of the newest 64. Ruled out: announcing gateways only, which delayed the first contact between domains to 4 s and failed the test of a domain cut off from the log.

--- a/src/contacts.cpp
+++ b/src/contacts.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace sardinepoint
 {
@@ -17,6 +19,9 @@
 using nlohmann::json;
 
 constexpr time_ms announce_retry_ms = 1000;
+// Other failure domains start about the same time; later a missing one is looked for less often.
+constexpr time_ms start_up_ms = 30'000;
+constexpr time_ms slow_search_interval_ms = 10'000;
 constexpr int newest_contacts = 64;
 constexpr std::size_t joined_contacts = 3;
 constexpr std::size_t told_contacts = 8;
@@ -36,10 +41,18 @@
     }
 }
 
-void read_contacts(node& self)
+/**
+ * Announcements of the daemons of one failure domain. Each domain has a stream of its own, so that
+ * the restart of another domain doesn't push its announcements out of the newest ones.
+ */
+std::string domain_stream(const node& self)
 {
-    self.contacts_read = steady_now();
-    read_newest(self.log, member_stream, newest_contacts,
+    return std::string(member_stream) + "-" + self.config.domain;
+}
+
+void read_contacts_of(node& self, std::string_view stream)
+{
+    read_newest(self.log, stream, newest_contacts,
                 [&self](const read_result& result)
                 {
                     for (const log_record& record : result.records)
@@ -55,6 +68,45 @@
                 });
 }
 
+void read_contacts(node& self)
+{
+    self.contacts_read = steady_now();
+    read_contacts_of(self, domain_stream(self));
+    read_contacts_of(self, member_stream);
+}
+
+void append_contact(node& self, const std::string& stream,
+                    std::function<void(const append_result&)> done)
+{
+    const json body{{"id", self.config.id},
+                    {"domain", self.config.domain},
+                    {"control", to_string(own_control_endpoint(self))}};
+    append_record(self.log, stream, body.dump(), std::move(done));
+}
+
+/** Gateways repeat their announcements, because the log keeps records for a limited time only. */
+void repeat_announcements(node& self)
+{
+    const bool due = self.gateway_announced == 0 ||
+                     steady_now() - self.gateway_announced >= self.config.snapshot_interval;
+    if (!is_gateway(self) || !due || self.leaving)
+    {
+        return;
+    }
+    self.gateway_announced = steady_now();
+    for (const std::string& stream : {std::string(member_stream), domain_stream(self)})
+    {
+        append_contact(self, stream,
+                       [&self](const append_result& result)
+                       {
+                           if (result.outcome != append_outcome::appended)
+                           {
+                               self.gateway_announced = 0;
+                           }
+                       });
+    }
+}
+
 } // namespace
 
 void add_contact(node& self, const std::string& id, const std::string& domain,
@@ -141,29 +193,41 @@
 
 void announce_contact(node& self)
 {
-    const json body{{"id", self.config.id},
-                    {"domain", self.config.domain},
-                    {"control", to_string(own_control_endpoint(self))}};
-    append_record(self.log, member_stream, body.dump(),
-                  [&self](const append_result& result)
-                  {
-                      if (result.outcome == append_outcome::refused)
-                      {
-                          const time_ms delay =
-                              announce_retry_ms + std::uniform_int_distribution<time_ms>(
-                                                      0, announce_retry_ms)(self.random);
-                          run_after(*self.loop, delay, [&self] { announce_contact(self); });
-                      }
-                      read_contacts(self);
-                  });
+    // Other domains learn of this one at once; repeat_announcements keeps it known.
+    append_contact(self, std::string(member_stream), [](const append_result&) {});
+    append_contact(self, domain_stream(self),
+                   [&self](const append_result& result)
+                   {
+                       if (result.outcome == append_outcome::refused)
+                       {
+                           const time_ms delay =
+                               announce_retry_ms + std::uniform_int_distribution<time_ms>(
+                                                       0, announce_retry_ms)(self.random);
+                           run_after(*self.loop, delay, [&self] { announce_contact(self); });
+                       }
+                       read_contacts(self);
+                   });
 }
 
 void find_peers(node& self)
 {
+    repeat_announcements(self);
+    // Until another failure domain is known, its gateways may not have announced themselves yet.
+    const bool other_domain_known =
+        std::any_of(self.contacts.begin(), self.contacts.end(),
+                    [&](const auto& entry) { return entry.second.domain != self.config.domain; });
     const bool lost_domain =
         std::any_of(self.contacts.begin(), self.contacts.end(),
                     [](const auto& entry) { return entry.second.failures > 2; });
-    if (!alone_in_domain(self) && !(lost_domain && is_gateway(self)) && self.config_replica.ready)
+    const bool lacks_other_domains = lost_domain || !other_domain_known;
+    if (!alone_in_domain(self) && !(lacks_other_domains && is_gateway(self)) &&
+        self.config_replica.ready)
+    {
+        return;
+    }
+    const time_ms uptime = wall_now() - static_cast<time_ms>(self.incarnation);
+    const time_ms pause = uptime < start_up_ms ? 0 : slow_search_interval_ms;
+    if (self.config_replica.ready && steady_now() - self.contacts_read < pause)
     {
         return;
     }
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -22,7 +22,7 @@
 constexpr time_ms freshness_interval_ms = 2000;
 constexpr time_ms summary_interval_ms = 1000;
 constexpr time_ms housekeeping_interval_ms = 1000;
-constexpr time_ms contacts_interval_ms = 5000;
+constexpr time_ms contacts_interval_ms = 2000;
 
 void housekeep(node& self)
 {
