--- a/support/measure_upstreams.cpp
+++ b/support/measure_upstreams.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 
 using namespace sardinepoint;
 using nlohmann::json;
@@ -141,6 +142,24 @@
     }
 }
 
+/** Prints how often calls failed for each reason. */
+void print_failures(const rig::load_report& report)
+{
+    std::map<std::string, int> reasons;
+    for (const rig::load_call& call : report.calls)
+    {
+        if (call.verdict != rig::load_verdict::success)
+        {
+            ++reasons[fmt::format("{}, {}, {}", to_string(call.verdict), call.outcome,
+                                  call.reason)];
+        }
+    }
+    for (const auto& [reason, count] : reasons)
+    {
+        row("- failed: " + reason, std::to_string(count));
+    }
+}
+
 /** Freezes one of six upstreams with 80% of the slots in use. */
 void measure_frozen(const plan& wanted, time_ms work, time_ms deadline)
 {
@@ -162,6 +181,7 @@
             fmt::format("{} of {} calls succeed ({:.3f}%), 99% in {:.0f} ms",
                         rig::count_verdict(report, rig::load_verdict::success), report.calls.size(),
                         100 * rig::success_share(report), rig::latency_quantile(report, 0.99)));
+        print_failures(report);
     }
 }
 
@@ -260,6 +280,7 @@
         row(fmt::format("one daemon at {:.0f} calls/s, one hop", rate),
             fmt::format("{:.2f}% succeed, 99% in {:.1f} ms", 100 * rig::success_share(report),
                         rig::latency_quantile(report, 0.99)));
+        print_failures(report);
     }
 }
 
