Recognise a crash behind a kept connection and behind a slow exit

Cause: libcurl repeats an idempotent request when a kept connection closes; the refused second connection was not seen as a lost one, so the crash was not counted. A process that exits may close its connections before its listener, so that a probe at once still connects. A crashing request took five upstreams of five. Change: such a result counts as a lost connection; a probe that connects is repeated after 20 ms.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -159,7 +159,9 @@
     result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
     result.connection_lost = code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR ||
                              code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE ||
-                             code == CURLE_SEND_FAIL_REWIND;
+                             code == CURLE_SEND_FAIL_REWIND ||
+                             // A kept connection was lost and libcurl couldn't open another.
+                             (code == CURLE_COULDNT_CONNECT && request_size > 0);
     // Part of an answer is never passed on.
     result.response = {};
 }
--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -16,6 +16,9 @@
 {
 
 constexpr time_ms crash_probe_timeout_ms = 200;
+// A process that exits may close its connections before its listener.
+constexpr int crash_probes = 2;
+constexpr time_ms crash_probe_interval_ms = 20;
 // Several times the delay of a broadcast through a failure domain.
 constexpr time_ms crash_spread_ms = 100;
 constexpr time_ms upstream_connect_timeout_ms = 500;
@@ -83,7 +86,7 @@
 }
 
 /** A lost connection is a crash if the upstream doesn't accept a new one. */
-void probe_after_loss(node& self, std::uint64_t id, const hop_result& result)
+void probe_after_loss(node& self, std::uint64_t id, const hop_result& result, int probes_left)
 {
     const auto found = self.hops.find(id);
     if (found == self.hops.end())
@@ -98,8 +101,15 @@
                   .timeout = crash_probe_timeout_ms,
                   .connect_timeout = crash_probe_timeout_ms,
                   .connect_only = true},
-                 [&self, id, upstream, fingerprint, result](const http_result& probe)
+                 [&self, id, upstream, fingerprint, result, probes_left](const http_result& probe)
                  {
+                     if (probe.outcome != call_outcome::not_sent && probes_left > 1)
+                     {
+                         run_after(*self.loop, crash_probe_interval_ms,
+                                   [&self, id, result, probes_left]
+                                   { probe_after_loss(self, id, result, probes_left - 1); });
+                         return;
+                     }
                      hop_result ended = result;
                      if (probe.outcome == call_outcome::not_sent)
                      {
@@ -162,7 +172,7 @@
     }
     if (answer.connection_lost)
     {
-        probe_after_loss(self, id, result);
+        probe_after_loss(self, id, result, crash_probes);
         return;
     }
     finish(self, id, std::move(result));
