--- a/test/call-test.cpp
+++ b/test/call-test.cpp
@@ -323,6 +323,10 @@
                     })
                     .detach();
             }
+            else if (body == "drop")
+            {
+                ::shutdown(fd, SHUT_RDWR);
+            }
             else if (body == "twice")
             {
                 write_text(fd, complete_answer("twice") + complete_answer("extra"));
@@ -362,6 +366,11 @@
         BOOST_TEST(outcome_of(answer) == "answered");
         BOOST_TEST(answer.response.body == body);
     }
+    // A kept connection that closes without an answer: the library must not repeat the request.
+    const int before_drop = upstream.requests;
+    BOOST_TEST(outcome_of(this->post(0, "kept")) == "answered");
+    BOOST_TEST(outcome_of(this->post(0, "drop")) == "unknown");
+    BOOST_TEST(upstream.requests == before_drop + 2);
     const http_result claims = this->post(0, "claims");
     BOOST_TEST(outcome_of(claims) == "answered");
     BOOST_TEST(claims.response.status == 503);
