Spill all calls of a domain without upstreams while others have room

Cause: the spill budget of half a token per call also applied to a failure domain whose own upstreams had gone: about a third of light calls were refused as not run although another domain had free slots. Change: the budget applies only when the own domain has upstreams, or when the others are full.

--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -361,7 +361,11 @@
     const bool own_busy = std::ranges::all_of(own_free, is_busy);
     const bool remote_busy = std::ranges::all_of(remote_free, is_busy);
     const bool stay = !own_free.empty() && (!own_busy || remote_busy);
-    if (!stay && !remote_free.empty() && spend_spill(budget))
+    // A domain without an upstream of the service may use all the room that others have; the
+    // budget protects their own callers as soon as they are full.
+    const bool has_own = std::ranges::any_of(candidates, [&](const endpoint_candidate& candidate)
+                                             { return candidate.domain == request.domain; });
+    if (!stay && !remote_free.empty() && (!has_own || spend_spill(budget)))
     {
         return choose(remote_free, choice_reason::spilled);
     }
