--- a/test/call-test.cpp
+++ b/test/call-test.cpp
@@ -265,7 +265,13 @@
     this->start(1);
     const std::string key = this->new_key(0);
     BOOST_TEST(outcome_of(this->post(0, "crew 1", key, "/elsewhere")) == "not-run");
+    json route = rig::service_operations("duty-board", "v1", "/elsewhere")[1];
+    route["name"] = "elsewhere";
+    BOOST_REQUIRE(this->mesh.submit(this->mesh.daemons[0], 1, json::array({route}))["status"] ==
+                  200);
+    BOOST_REQUIRE(this->mesh.wait_version(2, start_limit_ms));
     BOOST_TEST(outcome_of(this->post(0, "crew 1", key, "/elsewhere")) == "not-run");
+    BOOST_TEST(outcome_of(this->post(0, "crew 1", this->new_key(0), "/elsewhere")) == "answered");
     BOOST_TEST(outcome_of(this->post(0, "crew 1", this->new_key(0))) == "answered");
 }
 
