--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -304,6 +304,10 @@
     {
         config_changed(self);
         check_ready(self);
+    }
+    if (!self.pending.records.empty())
+    {
+        // Daemons that got the records from a peer have nothing to broadcast.
         schedule_flush(self);
     }
     return folded;
--- a/test/replica-test.cpp
+++ b/test/replica-test.cpp
@@ -356,6 +356,22 @@
     system.expect_identical();
 }
 
+// Guards against a daemon that is ready after the first of several reads of the log.
+BOOST_AUTO_TEST_CASE(restart_behind_many_records_is_ready_only_at_the_end_of_the_log)
+{
+    observed_mesh system{{.appends_per_second = 100000}};
+    constexpr int records = 1500;
+    for (int i = 0; i < records; ++i)
+    {
+        append_raw(system.mesh, "{}");
+    }
+    system.accept(system.mesh.daemons[0]);
+    system.expect_identical();
+    system.restart_domain("rakvere");
+    BOOST_TEST(system.in_force(system.daemons_of("rakvere"), catch_up_limit_ms));
+    system.expect_identical();
+}
+
 // Guards against a failure domain that goes back, or stays out for ever, after a restart during
 // an outage of the log.
 BOOST_AUTO_TEST_CASE(domain_restarted_during_an_outage_of_the_log_catches_up_from_peers)
@@ -471,6 +487,7 @@
     system.expect_identical();
     const auto members = system.daemons_of("tallinn-a");
     std::vector<std::string_view> ids;
+    ids.reserve(members.size());
     for (const rig::daemon_node* daemon : members)
     {
         ids.emplace_back(daemon->id);
