--- a/test/cli-test.cpp
+++ b/test/cli-test.cpp
@@ -465,7 +465,7 @@
 {
     const std::string settings = read_file(rigged().daemon().settings_file);
     const std::string file = files().write(settings + "colour = red\n");
-    for (const std::string arguments : {"--config=" + file, "--check --config=" + file})
+    for (const std::string& arguments : {"--config=" + file, "--check --config=" + file})
     {
         const program_run run = run_program("sardinepointd", arguments);
         check_error(run, 3, {"'colour'", "[log]", "remove it"});
