States and outcomes by name in log lines

Cause: log lines showed states and outcomes as bare numbers. Change: one to_string for each, used by the log and the operator API.

--- a/include/sardinepoint/log_client.hpp
+++ b/include/sardinepoint/log_client.hpp
@@ -28,6 +28,9 @@
     unknown,
 };
 
+/** Name of the outcome as used in log lines. */
+std::string_view to_string(append_outcome outcome);
+
 struct append_result
 {
     append_outcome outcome = append_outcome::unknown;
--- a/include/sardinepoint/membership.hpp
+++ b/include/sardinepoint/membership.hpp
@@ -46,6 +46,10 @@
     dead,
 };
 
+/** Name of the state as used in JSON answers and log lines. */
+std::string_view to_string(upstream_state state);
+std::string_view to_string(member_state state);
+
 /** A daemon as it describes itself; only suspicion and death are written by others. */
 struct member_record
 {
--- a/src/local_upstreams.cpp
+++ b/src/local_upstreams.cpp
@@ -100,7 +100,7 @@
                {"version", record.version},
                {"upstream", record.address + ":" + std::to_string(record.port)},
                {"slots", record.slots},
-               {"state", static_cast<int>(record.state)}});
+               {"state", to_string(record.state)}});
 }
 
 } // namespace
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -98,6 +98,20 @@
 
 } // namespace
 
+std::string_view to_string(append_outcome outcome)
+{
+    switch (outcome)
+    {
+    case append_outcome::appended:
+        return "appended";
+    case append_outcome::refused:
+        return "refused";
+    case append_outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 void append_record(const log_client& log, std::string_view stream, std::string body,
                    std::function<void(append_result)> done)
 {
--- a/src/member_exchange.cpp
+++ b/src/member_exchange.cpp
@@ -43,7 +43,7 @@
     if (result.changed && old_state != record->state)
     {
         log_event(log_level::info, "member_changed",
-                  {{"member", record->id}, {"state", static_cast<int>(record->state)}});
+                  {{"member", record->id}, {"state", to_string(record->state)}});
     }
     note_served_offset(self, record->served_offset);
 }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -168,6 +168,36 @@
 
 } // namespace
 
+std::string_view to_string(member_state state)
+{
+    switch (state)
+    {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+std::string_view to_string(upstream_state state)
+{
+    switch (state)
+    {
+    case upstream_state::up:
+        return "up";
+    case upstream_state::draining:
+        return "draining";
+    case upstream_state::left:
+        return "left";
+    }
+    return "left";
+}
+
 const member_record& publish_self(member_table& table, member_record record, time_ms now)
 {
     record.id = table.self_id;
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -26,36 +26,6 @@
 constexpr time_ms drain_timeout_ms = 2000;
 constexpr std::string_view peer_prefix = "/peer/v1/";
 
-std::string_view to_string(member_state state)
-{
-    switch (state)
-    {
-    case member_state::alive:
-        return "alive";
-    case member_state::suspect:
-        return "suspect";
-    case member_state::leaving:
-        return "leaving";
-    case member_state::dead:
-        return "dead";
-    }
-    return "dead";
-}
-
-std::string_view to_string(upstream_state state)
-{
-    switch (state)
-    {
-    case upstream_state::up:
-        return "up";
-    case upstream_state::draining:
-        return "draining";
-    case upstream_state::left:
-        return "left";
-    }
-    return "left";
-}
-
 json member_view(const member_record& record)
 {
     json upstreams = json::array();
--- a/src/patch_submission.cpp
+++ b/src/patch_submission.cpp
@@ -92,7 +92,7 @@
 {
     log_event(log_level::info, "patch_appended",
               {{"id", id},
-               {"outcome", static_cast<int>(result.outcome)},
+               {"outcome", to_string(result.outcome)},
                {"offset", result.offset},
                {"reason", result.reason}});
     if (result.outcome == append_outcome::refused)
--- a/src/probing.cpp
+++ b/src/probing.cpp
@@ -81,6 +81,21 @@
               });
 }
 
+std::string_view verdict_name(detector_action_kind kind)
+{
+    switch (kind)
+    {
+    case detector_action_kind::mark_suspect:
+        return "suspect";
+    case detector_action_kind::mark_dead:
+        return "dead";
+    case detector_action_kind::presume_lost:
+        return "all_others_presumed_lost";
+    default:
+        return "none";
+    }
+}
+
 void run_detector(node& self)
 {
     for (const detector_action& action :
@@ -100,7 +115,7 @@
         case detector_action_kind::mark_dead:
         case detector_action_kind::presume_lost:
             log_event(log_level::info, "member_verdict",
-                      {{"member", action.target}, {"verdict", static_cast<int>(action.kind)}});
+                      {{"member", action.target}, {"verdict", verdict_name(action.kind)}});
             if (const member_record* record = apply_action(self.members, action, steady_now()))
             {
                 spread_member(self, record->id);
