--- a/support/rig/call_storm.hpp
+++ b/support/rig/call_storm.hpp
@@ -26,7 +26,9 @@
 {
     std::string build_dir;
     std::uint64_t seed = 1;
+    /** The storm goes on until both numbers are reached. */
     std::uint64_t calls = 10'000;
+    std::uint64_t least_faults = 0;
     /** Calls in progress at the same time. */
     int callers = 48;
     bool keyed = true;
