Count control traffic with headers on both sides; send fewer headers

Cause: control_bytes left out the headers on the answering side, so the idle traffic looked smaller than it was.

--- a/include/sardinepoint/http_server.hpp
+++ b/include/sardinepoint/http_server.hpp
@@ -64,7 +64,7 @@
 /** Number of open connections. */
 std::size_t open_connections(const http_server& server);
 
-/** Bytes of request and response bodies and targets handled so far. */
+/** Bytes of requests and responses handled so far, with their headers. */
 std::uint64_t transferred_bytes(const http_server& server);
 
 } // namespace sardinepoint
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -266,6 +266,7 @@
 {
     curl_slist* list = curl_slist_append(nullptr, "Expect:");
     bool has_content_type = false;
+    bool has_accept = false;
     for (const http_header& header : call.call.headers)
     {
         // curl takes "Name;" for a header with an empty value.
@@ -273,6 +274,12 @@
             header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
         list = curl_slist_append(list, line.c_str());
         has_content_type = has_content_type || equal_header_name(header.name, "Content-Type");
+        has_accept = has_accept || equal_header_name(header.name, "Accept");
+    }
+    // Without these libcurl adds headers of its own.
+    if (!has_accept)
+    {
+        list = curl_slist_append(list, "Accept:");
     }
     if (!has_content_type)
     {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -21,6 +21,11 @@
 // libmicrohttpd doesn't watch a suspended connection, so closed peers are found by polling.
 constexpr time_ms cancel_poll_interval_ms = 20;
 
+// "HTTP/1.1", two spaces, the line's end and the empty line.
+constexpr std::uint64_t request_line_bytes = 14;
+// The status line, Content-Length and the empty line of a usual answer.
+constexpr std::uint64_t status_line_bytes = 40;
+
 enum class exchange_state
 {
     receiving,
@@ -87,10 +92,21 @@
     return MHD_YES;
 }
 
+std::uint64_t header_bytes(std::span<const http_header> headers)
+{
+    constexpr std::uint64_t separator_bytes = 4;
+    std::uint64_t bytes = 0;
+    for (const http_header& header : headers)
+    {
+        bytes += header.name.size() + header.value.size() + separator_bytes;
+    }
+    return bytes;
+}
+
 MHD_Result queue_response(http_server& server, exchange& current)
 {
     const http_response& answer = current.response;
-    server.bytes += answer.body.size();
+    server.bytes += answer.body.size() + header_bytes(answer.headers) + status_line_bytes;
     MHD_Response* response =
         MHD_create_response_from_buffer(answer.body.size(),
                                         const_cast<char*>(answer.body.data()), // NOLINT
@@ -113,7 +129,9 @@
 {
     current.state = exchange_state::pending;
     server.pending[current.id] = &current;
-    server.bytes += current.request.body.size() + current.request.target.size();
+    server.bytes += current.request.body.size() + current.request.target.size() +
+                    current.request.method.size() + request_line_bytes +
+                    header_bytes(current.request.headers);
     server.callbacks.on_request({current.id}, std::move(current.request));
 }
 
@@ -293,11 +311,12 @@
     server->options = options;
     server->callbacks = std::move(callbacks);
     server->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options.port, nullptr, nullptr, &handle_access,
-        server.get(), MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_URI_LOG_CALLBACK, &begin_exchange,
-        server.get(), MHD_OPTION_NOTIFY_COMPLETED, &finish_exchange, server.get(),
-        MHD_OPTION_CONNECTION_LIMIT, options.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-        options.idle_timeout_s, MHD_OPTION_END);
+        // Date headers would cost 37 bytes in each answer to a peer.
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_SUPPRESS_DATE_NO_CLOCK, options.port,
+        nullptr, nullptr, &handle_access, server.get(), MHD_OPTION_SOCK_ADDR, &*address,
+        MHD_OPTION_URI_LOG_CALLBACK, &begin_exchange, server.get(), MHD_OPTION_NOTIFY_COMPLETED,
+        &finish_exchange, server.get(), MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
+        MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, MHD_OPTION_END);
     if (server->daemon == nullptr)
     {
         reason = {error_kind::internal,
--- a/support/measure_config.cpp
+++ b/support/measure_config.cpp
@@ -27,11 +27,11 @@
     R"(Measures how configuration spreads through a mesh of real processes.
 
 Usage:
-  measure_config --build=DIR [--spread=SIZES] [--sizes=SIZES] [--patches=N] [--heals=N]
+  measure_config [--build-dir=DIR] [--spread=SIZES] [--sizes=SIZES] [--patches=N] [--heals=N]
                  [--idle-ms=N] [--only=PART]
 
 Options:
-  --build=DIR      Folder of the programs.
+  --build-dir=DIR  Folder of the programs [default: build].
   --spread=SIZES   Numbers of daemons for the time to spread [default: 6,12].
   --sizes=SIZES    Numbers of daemons for traffic and load [default: 8,16,32,64].
   --patches=N      Patches for each size of --spread [default: 200].
@@ -412,7 +412,7 @@
 {
     auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
     set_up_logging(log_level::warning, "measure_config");
-    const std::string build = args["--build"].asString();
+    const std::string build = args["--build-dir"].asString();
     const std::string only = args["--only"] ? args["--only"].asString() : "";
     if (only.empty() || only == "spread")
     {
