--- a/src/call_headers.hpp
+++ b/src/call_headers.hpp
@@ -9,6 +9,7 @@
 namespace call_headers
 {
 inline constexpr std::string_view deadline = "Sardinepoint-Deadline-Ms";
+inline constexpr std::string_view attempt = "Sardinepoint-Attempt-Ms";
 inline constexpr std::string_view depth = "Sardinepoint-Depth";
 inline constexpr std::string_view hop = "Sardinepoint-Hop";
 inline constexpr std::string_view service = "Sardinepoint-Service";
--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -216,8 +216,24 @@
     answer_failure(self, id, result.reason.empty() ? "the upstream didn't answer" : result.reason);
 }
 
+/** What a call and its present attempt may take at the next hop. */
+struct hop_times
+{
+    time_ms call = 0;
+    time_ms attempt = 0;
+};
+
+/**
+ * Time that an upstream is told. It is the call's and not the attempt's: in a chain of calls the
+ * parts that attempts may take would multiply, to 0.07% of the first deadline at the eighth hop.
+ */
+time_ms call_time(const ingress_call& call, time_ms attempt)
+{
+    return std::max(attempt, time_left(call) - hop_margin);
+}
+
 std::vector<http_header> forward_headers(const ingress_call& call, std::string_view hop,
-                                         time_ms budget)
+                                         const hop_times& times)
 {
     std::vector<http_header> headers;
     for (const http_header& header : call.request.headers)
@@ -232,7 +248,8 @@
     set_header(headers, call_headers::service, call.service);
     set_header(headers, call_headers::version, call.version);
     set_header(headers, call_headers::idempotent, call.idempotent ? "1" : "0");
-    set_header(headers, call_headers::deadline, std::to_string(budget));
+    set_header(headers, call_headers::deadline, std::to_string(times.call));
+    set_header(headers, call_headers::attempt, std::to_string(times.attempt));
     set_header(headers, call_headers::depth, std::to_string(call.depth));
     return headers;
 }
@@ -280,12 +297,14 @@
 {
     const std::uint64_t id = call.id.value;
     const bool shares_deadline = call.idempotent;
-    const time_ms budget = shares_deadline ? timeout : std::max<time_ms>(1, timeout - hop_margin);
+    const time_ms attempt = shares_deadline ? timeout : std::max<time_ms>(1, timeout - hop_margin);
+    const bool spilled = hop == hop_kind::spill;
+    const hop_times times{.call = spilled ? attempt : call_time(call, attempt), .attempt = attempt};
     call.forwarded =
         send_request(*self.data_client,
                      {.method = call.request.method,
                       .url = "http://" + to_string(call.target.address) + call.request.target,
-                      .headers = forward_headers(call, hop, budget),
+                      .headers = forward_headers(call, hop, times),
                       .body = call.request.body,
                       .timeout = timeout,
                       .connect_timeout = std::min<time_ms>(timeout, 500),
@@ -301,6 +320,7 @@
                         .version = call.version,
                         .request = call.request,
                         .time_left = timeout,
+                        .call_time_left = call_time(call, timeout),
                         .depth = call.depth,
                         .idempotent = call.idempotent,
                         .fingerprint = call.fingerprint};
@@ -393,7 +413,9 @@
     hop_request hop;
     hop.service = find_header(request.headers, call_headers::service).value_or("");
     hop.version = find_header(request.headers, call_headers::version).value_or("");
-    hop.time_left = header_number(request, call_headers::deadline, 0);
+    hop.call_time_left = header_number(request, call_headers::deadline, 0);
+    hop.time_left = std::min(hop.call_time_left,
+                             header_number(request, call_headers::attempt, hop.call_time_left));
     hop.depth = static_cast<int>(header_number(request, call_headers::depth, 0));
     hop.idempotent = find_header(request.headers, call_headers::idempotent).value_or("0") == "1";
     hop.fingerprint = request_fingerprint(request.method, path_of(request.target), request.body);
--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -186,6 +186,7 @@
         const bool drop = is_hop_by_hop(header.name) || equal_header_name(header.name, "Host") ||
                           equal_header_name(header.name, "Expect") ||
                           equal_header_name(header.name, call_headers::hop) ||
+                          equal_header_name(header.name, call_headers::attempt) ||
                           equal_header_name(header.name, call_headers::idempotent);
         if (!drop)
         {
@@ -201,12 +202,13 @@
 {
     hop.holds_slot = true;
     hop.started = steady_now();
-    const time_ms time_left = hop.request.time_left - (hop.started - hop.arrived);
+    const time_ms waited = hop.started - hop.arrived;
+    const time_ms time_left = hop.request.time_left - waited;
     const std::uint64_t id = hop.id;
     hop.call = send_request(upstream_client(self, hop.upstream),
                             {.method = hop.request.request.method,
                              .url = "http://" + hop.upstream + hop.request.request.target,
-                             .headers = upstream_headers(hop, time_left),
+                             .headers = upstream_headers(hop, hop.request.call_time_left - waited),
                              .body = hop.request.request.body,
                              .timeout = time_left,
                              .connect_timeout = std::min(time_left, upstream_connect_timeout_ms),
--- a/src/local_hop.hpp
+++ b/src/local_hop.hpp
@@ -15,7 +15,10 @@
     std::string service;
     std::string version;
     http_request request;
+    /** Time for this attempt, with its wait for a slot. */
     time_ms time_left = 0;
+    /** Time for the whole call, told to the upstream. */
+    time_ms call_time_left = 0;
     int depth = 0;
     bool idempotent = false;
     std::uint64_t fingerprint = 0;
--- /dev/null
+++ b/src/move_aggregation.cpp
@@ -0,0 +1,227 @@
+#include "move_internal.hpp"
+#include "move_json.hpp"
+#include "peering.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_ms report_interval_ms = 1000;
+constexpr time_ms report_timeout_ms = 1000;
+// A report is at most one interval old when it is sent and arrives within the rest.
+constexpr time_ms evidence_lag_ms = 1500;
+constexpr std::size_t aggregators_per_move = 2;
+constexpr std::size_t gateways_per_domain = 2;
+constexpr time_ms isolation_after_ms = 5000;
+constexpr time_ms log_stale_after_ms = 10000;
+constexpr time_ms outcome_retry_ms = 3000;
+constexpr double rate_gain = 0.2;
+constexpr double ms_per_second = 1000;
+
+std::vector<std::string> pick_members(const node& self, std::string_view key, std::size_t count)
+{
+    const auto ids = alive_ids(self.members, self.config.domain);
+    std::vector<std::string> picked;
+    for (const std::string_view id : rendezvous_pick(ids, key, count))
+    {
+        picked.emplace_back(id);
+    }
+    return picked;
+}
+
+std::string proxy_name(const node& self)
+{
+    return self.config.id + "/" + std::to_string(self.incarnation);
+}
+
+void report_own_evidence(node& self, const std::string& move, tracked_move& tracked)
+{
+    if (tracked.own == tracked.reported)
+    {
+        return;
+    }
+    tracked.reported = tracked.own;
+    const json message{{"id", self.config.id},
+                       {"move", move},
+                       {"proxies", {{proxy_name(self), to_json(tracked.own)}}}};
+    for (const std::string& member : aggregators_of(self, move))
+    {
+        deliver_evidence(self, member, message);
+    }
+}
+
+/** Passes the failure domain's sum on to the gateways. */
+void report_domain_sum(node& self, const std::string& move, tracked_move& tracked)
+{
+    move_evidence sum;
+    sum.proxies[self.config.domain] = sum_evidence(tracked.domain_evidence);
+    merge_evidence(tracked.domain_sums, sum);
+    const json message{
+        {"id", self.config.id},
+        {"move", move},
+        {"domains",
+         {{self.config.domain, to_json(tracked.domain_sums.proxies[self.config.domain])}}}};
+    for (const std::string& member : pick_members(self, "gateway", gateways_per_domain))
+    {
+        if (member != self.config.id)
+        {
+            deliver_evidence(self, member, message);
+        }
+    }
+}
+
+bool lost_other_domains(const tracked_move& tracked)
+{
+    return !tracked.domains_heard.empty() &&
+           std::all_of(tracked.domains_heard.begin(), tracked.domains_heard.end(),
+                       [](const auto& entry)
+                       { return steady_now() - entry.second > isolation_after_ms; });
+}
+
+void append_outcome(node& self, const move_record& record, tracked_move& tracked)
+{
+    const bool ended = tracked.progress.withdrawn || tracked.progress.done;
+    const move_state wanted = tracked.progress.withdrawn ? move_state::withdrawn : move_state::done;
+    const bool folded = record.state == wanted || record.state == move_state::withdrawn;
+    if (!ended || folded || steady_now() - tracked.outcome_appended < outcome_retry_ms)
+    {
+        return;
+    }
+    tracked.outcome_appended = steady_now();
+    const move_outcome outcome{
+        .move = record.spec.id, .state = wanted, .reason = tracked.progress.reason};
+    append_record(self.log, config_stream, dump_outcome(outcome),
+                  [&self, move = record.spec.id](const append_result& result)
+                  {
+                      log_event(log_level::info, "move_outcome_appended",
+                                {{"move", move},
+                                 {"ok", result.outcome == append_outcome::appended ? "yes" : "no"},
+                                 {"reason", result.reason}});
+                      request_read(self);
+                  });
+}
+
+void decide(node& self, const move_record& record, tracked_move& tracked)
+{
+    const move_spec& spec = record.spec;
+    const auto& routes = self.config_replica.state.routes;
+    const bool isolated = lost_other_domains(tracked);
+    const move_context context{.now = wall_now(),
+                               .log_available = freshness_age(self) < log_stale_after_ms,
+                               .isolated = isolated,
+                               .evidence_until = wall_now() - evidence_lag_ms,
+                               .routes = static_cast<std::size_t>(std::max<std::ptrdiff_t>(
+                                   1, std::count_if(routes.begin(), routes.end(),
+                                                    [&](const auto& entry) {
+                                                        return entry.second.service == spec.service;
+                                                    })))};
+    observe_evidence(tracked.history, spec, tracked.progress, sum_evidence(tracked.domain_sums),
+                     context);
+    const move_decision decision = decide_move(spec, tracked.progress, tracked.history, context);
+    if (decision.hold_reason != tracked.hold_reason)
+    {
+        tracked.hold_reason = decision.hold_reason;
+        log_event(log_level::info, "move_hold",
+                  {{"move", spec.id}, {"reason", decision.hold_reason}});
+    }
+    bool spread = advance_move(self, spec.id, decision.progress, "aggregator");
+    if (isolated && spec.policy.stop_when_isolated)
+    {
+        tracked.isolated_at = wall_now();
+        spread = true;
+    }
+    if (spread)
+    {
+        spread_move(self, spec.id);
+    }
+}
+
+void tick_move(node& self, const std::string& move, tracked_move& tracked)
+{
+    const move_record* record = find_record(self, move);
+    if (record == nullptr)
+    {
+        return;
+    }
+    for (auto& [route, threshold] : tracked.thresholds)
+    {
+        update_slow_threshold(threshold, wall_now());
+    }
+    const auto calls = static_cast<double>(tracked.calls - tracked.calls_at_tick);
+    tracked.calls_at_tick = tracked.calls;
+    tracked.call_rate +=
+        rate_gain * (calls * ms_per_second / report_interval_ms - tracked.call_rate);
+    settle_old_crashes(self, tracked);
+    report_own_evidence(self, move, tracked);
+    const std::vector<std::string> aggregators = aggregators_of(self, move);
+    const auto rank = std::find(aggregators.begin(), aggregators.end(), self.config.id);
+    if (rank == aggregators.end())
+    {
+        return;
+    }
+    report_domain_sum(self, move, tracked);
+    if (!is_watched(record->spec, tracked.progress, wall_now()))
+    {
+        append_outcome(self, *record, tracked);
+        return;
+    }
+    // The second aggregator only observes, so that it can take over at once.
+    if (rank == aggregators.begin())
+    {
+        decide(self, *record, tracked);
+        append_outcome(self, *record, tracked);
+    }
+}
+
+void tick_moves(node& self)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, tracked] : self.moves->moves)
+    {
+        ids.push_back(id);
+    }
+    for (const std::string& id : ids)
+    {
+        tick_move(self, id, self.moves->moves[id]);
+    }
+}
+
+} // namespace
+
+std::vector<std::string> aggregators_of(const node& self, const std::string& move)
+{
+    return pick_members(self, "move/" + move, aggregators_per_move);
+}
+
+/** Sends evidence to a member, or takes it over if that is this daemon. */
+void deliver_evidence(node& self, const std::string& member, const json& message)
+{
+    if (member == self.config.id)
+    {
+        merge_evidence_report(self, message);
+        return;
+    }
+    if (const member_entry* entry = find_member(self.members, member))
+    {
+        count(self.stats, "evidence_sent");
+        send_peer(self, control_endpoint(entry->record), "/peer/v1/evidence", message,
+                  report_timeout_ms, {});
+    }
+}
+
+void start_moves(node& self)
+{
+    run_every(*self.loop, report_interval_ms, [&self] { tick_moves(self); });
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/move_attempts.cpp
@@ -0,0 +1,113 @@
+#include "move_internal.hpp"
+
+#include <vector>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_ms crash_decision_ms = 3000;
+constexpr double rate_gain = 0.2;
+constexpr int first_server_error = 500;
+
+version_counters& counters_of(tracked_move& tracked, std::string_view route, bool new_version)
+{
+    route_counters& counters = tracked.own[std::string(route)];
+    return new_version ? counters.to : counters.from;
+}
+
+void count_attempt(tracked_move& tracked, const attempt_evidence& attempt, bool new_version)
+{
+    version_counters& counters = counters_of(tracked, attempt.route, new_version);
+    slow_threshold& threshold = tracked.thresholds[std::string(attempt.route)];
+    const auto latency = static_cast<double>(attempt.elapsed);
+    const bool answered = attempt.outcome == run_outcome::answered;
+    const bool failed = !answered || attempt.status >= first_server_error;
+    ++counters.calls;
+    counters.failures += failed ? 1 : 0;
+    counters.slow += !answered || is_slow(threshold, latency) ? 1 : 0;
+    if (answered && !new_version)
+    {
+        observe_old_latency(threshold, latency);
+    }
+}
+
+/** A crash is charged once the same request was answered elsewhere, or when time has shown that
+    it didn't crash a second upstream. */
+void settle_crash(tracked_move& tracked, std::uint64_t fingerprint)
+{
+    const auto found = tracked.crashes.find(fingerprint);
+    if (found == tracked.crashes.end())
+    {
+        return;
+    }
+    version_counters& counters =
+        counters_of(tracked, found->second.route, found->second.on_new_version);
+    ++counters.calls;
+    ++counters.failures;
+    tracked.crashes.erase(found);
+}
+
+} // namespace
+
+void settle_old_crashes(node& self, tracked_move& tracked)
+{
+    std::vector<std::uint64_t> due;
+    for (const auto& [fingerprint, crash] : tracked.crashes)
+    {
+        if (steady_now() - crash.since >= crash_decision_ms)
+        {
+            due.push_back(fingerprint);
+        }
+    }
+    for (const std::uint64_t fingerprint : due)
+    {
+        if (is_quarantined(self.quarantine, fingerprint, wall_now()))
+        {
+            tracked.crashes.erase(fingerprint);
+            continue;
+        }
+        settle_crash(tracked, fingerprint);
+    }
+}
+
+void note_evidence(node& self, const attempt_evidence& attempt)
+{
+    const auto [record, tracked] = move_of_service(self, attempt.service);
+    if (record == nullptr || tracked->progress.withdrawn || attempt.outcome == run_outcome::not_run)
+    {
+        return;
+    }
+    const bool new_version = attempt.version == record->spec.to;
+    if (!new_version && attempt.version != record->spec.from)
+    {
+        return;
+    }
+    ++tracked->calls;
+    tracked->mean_latency_ms +=
+        rate_gain * (static_cast<double>(attempt.elapsed) - tracked->mean_latency_ms);
+    if (attempt.crashed)
+    {
+        const bool second = tracked->crashes.contains(attempt.fingerprint);
+        tracked->crashes[attempt.fingerprint] = {.route = std::string(attempt.route),
+                                                 .on_new_version = new_version,
+                                                 .since = steady_now()};
+        if (second)
+        {
+            // The request crashes both versions, so neither is charged.
+            tracked->crashes.erase(attempt.fingerprint);
+        }
+        return;
+    }
+    if (attempt.outcome == run_outcome::answered)
+    {
+        settle_crash(*tracked, attempt.fingerprint);
+    }
+    count_attempt(*tracked, attempt, new_version);
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/move_exchange.cpp
@@ -0,0 +1,181 @@
+#include "move_internal.hpp"
+#include "move_json.hpp"
+#include "peer_messages.hpp"
+#include "peering.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <algorithm>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+void log_progress(const std::string& move, const move_progress& progress, std::string_view source)
+{
+    log_event(log_level::info, "move_progress",
+              {{"move", move},
+               {"step", progress.step},
+               {"withdrawn", progress.withdrawn ? "yes" : "no"},
+               {"done", progress.done ? "yes" : "no"},
+               {"source", source},
+               {"reason", progress.reason}});
+}
+
+json parse_or_empty(const json& message, const char* key)
+{
+    const auto found = message.find(key);
+    return found != message.end() && found->is_object() ? *found : json::object();
+}
+
+move_evidence evidence_by_name(const json& values)
+{
+    move_evidence evidence;
+    for (const auto& [name, totals] : values.items())
+    {
+        evidence.proxies[name] = evidence_from_json(totals);
+    }
+    return evidence;
+}
+
+} // namespace
+
+/** Merges progress; returns whether it changed. */
+bool advance_move(node& self, const std::string& move, const move_progress& progress,
+                  std::string_view source)
+{
+    const auto found = self.moves->moves.find(move);
+    if (found == self.moves->moves.end())
+    {
+        return false;
+    }
+    const move_progress merged = merge_progress(found->second.progress, progress);
+    if (merged == found->second.progress)
+    {
+        return false;
+    }
+    found->second.progress = merged;
+    log_progress(move, merged, source);
+    return true;
+}
+
+json progress_json(const node& self, const std::string& move)
+{
+    const auto found = self.moves->moves.find(move);
+    if (found == self.moves->moves.end())
+    {
+        return json::object();
+    }
+    json value = to_json(found->second.progress);
+    value["move"] = move;
+    value["domain"] = self.config.domain;
+    value["isolated_at"] = found->second.isolated_at;
+    return value;
+}
+
+json all_progress_json(const node& self)
+{
+    json values = json::array();
+    for (const auto& [id, tracked] : self.moves->moves)
+    {
+        values.push_back(progress_json(self, id));
+    }
+    return values;
+}
+
+void merge_progress_list(node& self, const json& values)
+{
+    if (!values.is_array())
+    {
+        return;
+    }
+    for (const json& value : values)
+    {
+        const std::string move = value.is_object() ? text_in(value, "move") : "";
+        const auto found = self.moves->moves.find(move);
+        if (found == self.moves->moves.end())
+        {
+            continue;
+        }
+        const std::string domain = text_in(value, "domain");
+        if (advance_move(self, move, progress_from_json(value), domain) &&
+            domain != self.config.domain)
+        {
+            spread_move(self, move);
+        }
+        const auto isolated = value.find("isolated_at");
+        if (domain == self.config.domain && isolated != value.end() &&
+            isolated->is_number_integer())
+        {
+            found->second.isolated_at =
+                std::max(found->second.isolated_at, isolated->get<time_ms>());
+        }
+    }
+}
+
+json shared_evidence_json(const node& self)
+{
+    json values = json::array();
+    for (const auto& [id, tracked] : self.moves->moves)
+    {
+        const auto own = tracked.domain_sums.proxies.find(self.config.domain);
+        if (own != tracked.domain_sums.proxies.end())
+        {
+            values.push_back(
+                {{"move", id}, {"domains", {{self.config.domain, to_json(own->second)}}}});
+        }
+    }
+    return values;
+}
+
+void merge_shared_evidence(node& self, const json& message)
+{
+    const auto values = message.find("evidence");
+    if (values == message.end() || !values->is_array())
+    {
+        return;
+    }
+    for (const json& value : *values)
+    {
+        if (!value.is_object())
+        {
+            continue;
+        }
+        merge_evidence_report(self, value);
+        json forwarded = value;
+        forwarded["id"] = self.config.id;
+        for (const std::string& member : aggregators_of(self, text_in(value, "move")))
+        {
+            if (member != self.config.id)
+            {
+                deliver_evidence(self, member, forwarded);
+            }
+        }
+    }
+}
+
+void merge_evidence_report(node& self, const json& message)
+{
+    const auto found = self.moves->moves.find(text_in(message, "move"));
+    if (found == self.moves->moves.end())
+    {
+        return;
+    }
+    tracked_move& tracked = found->second;
+    merge_evidence(tracked.domain_evidence, evidence_by_name(parse_or_empty(message, "proxies")));
+    const json domains = parse_or_empty(message, "domains");
+    merge_evidence(tracked.domain_sums, evidence_by_name(domains));
+    for (const auto& [domain, totals] : domains.items())
+    {
+        if (domain != self.config.domain)
+        {
+            tracked.domains_heard[domain] = steady_now();
+        }
+    }
+}
+
+} // namespace sardinepoint
--- a/support/standin_upstream.cpp
+++ b/support/standin_upstream.cpp
@@ -83,6 +83,8 @@
     std::uint64_t most_calls_in_second = 0;
     time_ms last_call = 0;
     std::set<std::uint64_t> active;
+    /** Calls to the daemon on behalf of a request. */
+    std::map<std::uint64_t, call_id> inner_calls;
     /** How often each request with a Request-Id header ran. */
     std::map<std::string, int> runs;
     /** Keeps the runs of a stand-in that is killed. */
@@ -126,12 +128,57 @@
            std::uniform_real_distribution<double>(0, 1)(self.random) < self.behave.failure_rate;
 }
 
+std::string header_text(const http_request& request, std::string_view name)
+{
+    return std::string(find_header(request.headers, name).value_or(""));
+}
+
+/**
+ * Calls the daemon named in Chain-Via once more while Chain-Left is above 0, as a service does
+ * that needs other services; the answer is the inner one. The slot stays taken meanwhile.
+ */
+bool call_on(upstream& self, request_id id, const http_request& request)
+{
+    const std::int64_t left = parse_integer(header_text(request, "Chain-Left")).value_or(0);
+    if (left <= 0)
+    {
+        return false;
+    }
+    const std::string via = header_text(request, "Chain-Via");
+    const std::string budget = header_text(request, "Sardinepoint-Deadline-Ms");
+    self.inner_calls[id.value] = send_request(
+        *self.client,
+        {.method = request.method,
+         .url = "http://" + via + request.target,
+         .headers = {{"Chain-Left", std::to_string(left - 1)},
+                     {"Chain-Via", via},
+                     {"Sardinepoint-Deadline-Ms", budget},
+                     {"Sardinepoint-Depth", header_text(request, "Sardinepoint-Depth")}},
+         .timeout = parse_integer(budget).value_or(1)},
+        [&self, id](const http_result& answer)
+        {
+            self.inner_calls.erase(id.value);
+            self.active.erase(id.value);
+            --self.running;
+            http_response response = answer.response;
+            if (answer.outcome != call_outcome::answered)
+            {
+                response = json_response(504, "{}");
+            }
+            std::erase_if(response.headers,
+                          [](const http_header& header) { return is_hop_by_hop(header.name); });
+            send_reply(*self.server, id, std::move(response));
+        });
+    return true;
+}
+
 void finish(upstream& self, request_id id, const http_request& request)
 {
-    if (self.active.erase(id.value) == 0)
+    if (!self.active.contains(id.value) || call_on(self, id, request))
     {
         return;
     }
+    self.active.erase(id.value);
     --self.running;
     const bool failed = fails(self, path_of(request.target));
     const json body{{"service", self.service},
@@ -140,6 +187,8 @@
                     {"method", request.method},
                     {"target", request.target},
                     {"request_id", find_header(request.headers, "Request-Id").value_or("")},
+                    {"depth", header_text(request, "Sardinepoint-Depth")},
+                    {"deadline_ms", header_text(request, "Sardinepoint-Deadline-Ms")},
                     {"echo", request.body}};
     http_response response = json_response(failed ? 500 : 200, body.dump());
     run_after(*self.loop, self.behave.late,
@@ -253,6 +302,11 @@
         --self.running;
         ++self.cancelled;
     }
+    const auto inner = self.inner_calls.extract(id.value);
+    if (!inner.empty())
+    {
+        cancel_call(*self.client, inner.mapped());
+    }
 }
 
 } // namespace
--- a/test/call-test.cpp
+++ b/test/call-test.cpp
@@ -528,3 +528,52 @@
     BOOST_TEST_MESSAGE("attempts " << upstream.requests << " for " << calls << " calls");
     BOOST_TEST(upstream.requests <= calls + calls / 5 + 20 + seconds);
 }
+
+// Guards against chains of calls that lose their deadline or their depth on the way.
+BOOST_FIXTURE_TEST_CASE(deadline_and_depth_are_carried_through_a_chain_of_eight, one_domain)
+{
+    this->start(2);
+    constexpr int deepest = 8;
+    constexpr time_ms deadline_ms = 3000;
+    const endpoint& via = this->mesh.daemons[0].data;
+    const auto chain = [&](int calls_below)
+    {
+        return rig::call(via,
+                         {.headers = {{"Chain-Left", std::to_string(calls_below)},
+                                      {"Chain-Via", to_string(via)},
+                                      {"Sardinepoint-Deadline-Ms", std::to_string(deadline_ms)}},
+                          .timeout = deadline_ms},
+                         "/duty/board");
+    };
+    const http_result answer = chain(deepest - 1);
+    BOOST_REQUIRE(answer.response.status == 200);
+    const json body = json::parse(answer.response.body);
+    BOOST_TEST(body["depth"] == std::to_string(deepest));
+    const auto left = parse_integer(body["deadline_ms"].get<std::string>());
+    BOOST_REQUIRE(left.has_value());
+    // Each hop keeps back a margin for its own answer, and nothing else but the time that passed.
+    BOOST_TEST(*left <= deadline_ms - deepest * hop_margin);
+    BOOST_TEST(*left > deadline_ms / 2);
+    // A loop of calls ends at the depth limit with the refusal of the innermost call.
+    const http_result loop = chain(max_call_depth);
+    BOOST_TEST(loop.response.status == 503);
+    BOOST_TEST(loop.response.body.find("deeper") != std::string::npos);
+}
+
+// Guards against work that goes on at the end of a chain after its caller has left.
+BOOST_FIXTURE_TEST_CASE(cancellation_reaches_the_end_of_a_chain, one_domain)
+{
+    this->start(1, {.work = 500});
+    const endpoint& via = this->mesh.daemons[0].data;
+    const http_result answer = rig::call(
+        via, {.headers = {{"Chain-Left", "1"}, {"Chain-Via", to_string(via)}}, .timeout = 700},
+        "/duty/board");
+    BOOST_TEST(answer.timed_out);
+    BOOST_TEST(rig::wait_until(
+        start_limit_ms,
+        [&]
+        {
+            const json stats = rig::get_json(this->mesh.upstreams[0].address, "/standin/stats");
+            return stats.is_object() && stats["running"] == 0 && stats["cancelled"].get<int>() >= 1;
+        }));
+}
