--- a/test/upstream-test.cpp
+++ b/test/upstream-test.cpp
@@ -364,8 +364,8 @@
 /** Freezes one of six upstreams of 15 slots while the calls use 72 of the 90 slots. */
 void check_frozen_upstream(time_ms work, time_ms deadline)
 {
-    constexpr int busy_slots = 72;
-    constexpr int ms_per_second = 1000;
+    constexpr time_ms busy_slots = 72;
+    constexpr time_ms ms_per_second = 1000;
     const int rate = static_cast<int>(busy_slots * ms_per_second / work);
     vm_mesh vms(std::vector<std::string>(6, "tallinn-a"), {.slots = 15, .work = work});
     rig::background_load load(vms.load(rate, 15000, deadline));
