--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -352,21 +352,6 @@
     return choose_version(split->service, split->moved, self.random);
 }
 
-/**
- * A retry after a lost attempt gets most of the time left: with the part of a first attempt, nearly
- * full upstreams refuse it because it may wait too short for a slot.
- */
-time_ms next_attempt_timeout(const ingress_call& call)
-{
-    constexpr double retry_part = 0.8;
-    const time_ms left = time_left(call) - hop_margin;
-    if (call.idempotent && call.may_have_run)
-    {
-        return std::max<time_ms>(1, static_cast<time_ms>(static_cast<double>(left) * retry_part));
-    }
-    return attempt_timeout(left, call.idempotent);
-}
-
 void begin_attempt(node& self, std::uint64_t id)
 {
     ingress_call& call = *find_call(self, id);
@@ -408,7 +393,7 @@
     call.target = *pick.target;
     call.tried.push_back(call.target.member);
     call.attempt_started = steady_now();
-    const time_ms timeout = next_attempt_timeout(call);
+    const time_ms timeout = attempt_timeout(time_left(call) - hop_margin, call.idempotent);
     if (call.target.member == self.config.id)
     {
         run_here(self, call, timeout);
