Name the gateways of a failure domain in one place

Cause: the aggregators of moves picked the gateways with a key and a count of their own, the same as those in gateways.cpp; a change of one would have sent evidence to daemons that aren't gateways. Change: gateway_ids in gateways.cpp serves both; no change of behaviour.

--- a/src/gateways.cpp
+++ b/src/gateways.cpp
@@ -88,11 +88,17 @@
 
 } // namespace
 
-bool is_gateway(const node& self)
+std::vector<std::string> gateway_ids(const node& self)
 {
     const auto ids = alive_ids(self.members, self.config.domain);
     const auto picked = rendezvous_pick(ids, "gateway", gateways_per_domain);
-    return std::find(picked.begin(), picked.end(), self.config.id) != picked.end();
+    return {picked.begin(), picked.end()};
+}
+
+bool is_gateway(const node& self)
+{
+    const auto gateways = gateway_ids(self);
+    return std::find(gateways.begin(), gateways.end(), self.config.id) != gateways.end();
 }
 
 void merge_domain(node& self, const json& value, std::string_view source)
--- a/src/gateways.hpp
+++ b/src/gateways.hpp
@@ -4,11 +4,16 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace sardinepoint
 {
 
+/** Members of the own failure domain that exchange summaries with other failure domains. */
+std::vector<std::string> gateway_ids(const node& self);
+
 /** Whether this daemon exchanges summaries with other failure domains. */
 bool is_gateway(const node& self);
 
--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -1,3 +1,4 @@
+#include "gateways.hpp"
 #include "move_internal.hpp"
 #include "move_json.hpp"
 #include "peering.hpp"
@@ -21,24 +22,12 @@
 // A report is at most one interval old when it is sent and arrives within the rest.
 constexpr time_ms evidence_lag_ms = 1500;
 constexpr std::size_t aggregators_per_move = 2;
-constexpr std::size_t gateways_per_domain = 2;
 constexpr time_ms isolation_after_ms = 5000;
 constexpr time_ms log_stale_after_ms = 10000;
 constexpr time_ms outcome_retry_ms = 3000;
 constexpr double rate_gain = 0.2;
 constexpr double ms_per_second = 1000;
 
-std::vector<std::string> pick_members(const node& self, std::string_view key, std::size_t count)
-{
-    const auto ids = alive_ids(self.members, self.config.domain);
-    std::vector<std::string> picked;
-    for (const std::string_view id : rendezvous_pick(ids, key, count))
-    {
-        picked.emplace_back(id);
-    }
-    return picked;
-}
-
 std::string proxy_name(const node& self)
 {
     return self.config.id + "/" + std::to_string(self.incarnation);
@@ -71,7 +60,7 @@
         {"move", move},
         {"domains",
          {{self.config.domain, to_json(tracked.domain_sums.proxies[self.config.domain])}}}};
-    for (const std::string& member : pick_members(self, "gateway", gateways_per_domain))
+    for (const std::string& member : gateway_ids(self))
     {
         if (member != self.config.id)
         {
@@ -200,7 +189,9 @@
 
 std::vector<std::string> aggregators_of(const node& self, const std::string& move)
 {
-    return pick_members(self, "move/" + move, aggregators_per_move);
+    const auto ids = alive_ids(self.members, self.config.domain);
+    const auto picked = rendezvous_pick(ids, "move/" + move, aggregators_per_move);
+    return {picked.begin(), picked.end()};
 }
 
 /** Sends evidence to a member, or takes it over if that is this daemon. */
