Send large answers in turn on the link of a VM, two at a time

Cause: on the grown consortium the ten upstreams with proofs of 280 KB sit behind links of 15 Mbit/s. All answers were handed to the system at once, so the link was shared by up to a few dozen windows, and an answer of 400 bytes, a probe or the answer to an inner call waited behind them: lookups with a goal of 500 ms were late in 41 of 100, and 28 of 100 commissions failed since the check that they make had 600 ms.

Ruled out: slots (half of them were taken while the calls' median was 0.62 s), processor (0.011 of 0.1 core), placement by reports (the load was even across the upstreams).

Change: answers with more than 16 KB to send take turns over both listeners of a daemon; two are sent at a time, one that makes no progress for 200 ms counts no more, small ones pass. The link is never idle while an answer is ready.

Tests: send-turns-test replays the load; large_answers_are_sent_in_turn fails without the turns (128 KB of the second answer were sent at once).

--- a/include/sardinepoint/pipelined_server.hpp
+++ b/include/sardinepoint/pipelined_server.hpp
@@ -4,6 +4,7 @@
 #include "sardinepoint/event_loop.hpp"
 #include "sardinepoint/http.hpp"
 #include "sardinepoint/http_server.hpp"
+#include "sardinepoint/send_turns.hpp"
 #include "sardinepoint/settings.hpp"
 
 #include <cstdint>
@@ -33,6 +34,9 @@
     /** Unanswered requests of one connection; more are read when some are answered. */
     std::size_t max_pipelined = 64;
     caller_limits limits;
+    /** Large answers are sent in turn with those of the other listeners that share it; null sends
+     * each one at once. Must outlive the listener. */
+    send_turns* turns = nullptr;
 };
 
 pipelined_server_ptr open_pipelined_server(event_loop& loop,
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -46,6 +46,9 @@
 constexpr int body_time_factor = 10;
 // Callers go by the stated time when they reuse a connection, so it is closed a little later.
 constexpr time_ms idle_reserve_ms = 2000;
+// Answers with more than this to send take turns: 8 ms on a link of 16 Mbit/s. All at once would
+// share the link, and each small answer would wait behind a window of each large one.
+constexpr std::size_t large_output_bytes = 16U << 10U;
 
 /** One request in the order of its connection. */
 struct pipelined_exchange
@@ -66,6 +69,11 @@
     std::deque<pipelined_exchange> exchanges;
     std::string output;
     std::size_t sent = 0;
+    /** Turn of an output that is large. */
+    std::optional<std::uint64_t> turn;
+    /** End of what may be sent before the turn begins. */
+    std::size_t free_end = 0;
+    bool waits_for_turn = false;
     /** Nothing more is read; the connection closes when the output is sent. */
     bool ending = false;
     /** The output is sent and the sending side is shut down. */
@@ -97,6 +105,7 @@
 {
 
 void update_watch(pipelined_server& server, caller_connection& connection);
+void flush_connection(pipelined_server& server, std::uint64_t id);
 
 caller_connection* find_connection(pipelined_server& server, std::uint64_t id)
 {
@@ -104,6 +113,14 @@
     return found == server.connections.end() ? nullptr : found->second.get();
 }
 
+void end_output_turn(pipelined_server& server, caller_connection& connection)
+{
+    if (connection.turn)
+    {
+        give_turn_back(*server.options.turns, *std::exchange(connection.turn, std::nullopt));
+    }
+}
+
 /** Closes the connection; requests without an answer are cancelled. */
 void drop_connection(pipelined_server& server, std::uint64_t id)
 {
@@ -115,6 +132,7 @@
     caller_connection& connection = *entry.mapped();
     unwatch_fd(*server.loop, connection.fd);
     ::close(connection.fd);
+    end_output_turn(server, connection);
     for (const pipelined_exchange& exchange : connection.exchanges)
     {
         if (server.requests.erase(exchange.id) > 0 && server.callbacks.on_cancelled)
@@ -169,16 +187,39 @@
 enum class send_state
 {
     done,
+    /** The receiver has to read first. */
     blocked,
+    /** Other answers have their turn. */
+    waits,
     failed,
 };
 
-send_state send_output(caller_connection& connection)
+/** End of the output that may be sent now; asks for a turn if the rest is large. */
+std::size_t sendable_end(pipelined_server& server, caller_connection& connection)
+{
+    const std::size_t end = connection.output.size();
+    if (server.options.turns == nullptr ||
+        (!connection.turn && end - connection.sent <= large_output_bytes))
+    {
+        return end;
+    }
+    if (!connection.turn)
+    {
+        connection.turn = ask_turn(*server.options.turns,
+                                   [&server, id = connection.id] { flush_connection(server, id); });
+        // Small answers before the large one.
+        connection.free_end = connection.sent + large_output_bytes;
+    }
+    return is_active(server.options.turns->table, *connection.turn) ? end : connection.free_end;
+}
+
+send_state send_output(pipelined_server& server, caller_connection& connection)
 {
-    while (connection.sent < connection.output.size())
+    const std::size_t end = sendable_end(server, connection);
+    while (connection.sent < end)
     {
         const ssize_t result = ::send(connection.fd, connection.output.data() + connection.sent,
-                                      connection.output.size() - connection.sent, MSG_NOSIGNAL);
+                                      end - connection.sent, MSG_NOSIGNAL);
         if (result < 0)
         {
             return errno == EAGAIN || errno == EWOULDBLOCK ? send_state::blocked
@@ -186,9 +227,18 @@
         }
         connection.sent += static_cast<std::size_t>(result);
         connection.last_activity = steady_now();
+        if (connection.turn)
+        {
+            note_progress(server.options.turns->table, *connection.turn, connection.last_activity);
+        }
+    }
+    if (connection.sent < connection.output.size())
+    {
+        return send_state::waits;
     }
     connection.output.clear();
     connection.sent = 0;
+    end_output_turn(server, connection);
     return send_state::done;
 }
 
@@ -201,7 +251,8 @@
         return;
     }
     collect_answers(server, *connection);
-    const send_state state = send_output(*connection);
+    const send_state state = send_output(server, *connection);
+    connection->waits_for_turn = state == send_state::waits;
     if (state == send_state::failed)
     {
         drop_connection(server, id);
@@ -387,7 +438,8 @@
     // A full pipeline stays watched, since a caller that leaves must be noticed; what it sends is
     // bounded by the size of its requests' headers.
     const bool flooded = connection.input.size() > server.options.limits.max_body_bytes;
-    const io_interest interest{.read = !flooded, .write = !connection.output.empty()};
+    const io_interest interest{.read = !flooded,
+                               .write = !connection.output.empty() && !connection.waits_for_turn};
     watch_fd(*server.loop, connection.fd, interest,
              [&server, id = connection.id](io_interest ready) { handle_event(server, id, ready); });
 }
--- /dev/null
+++ b/src/send_turns.cpp
@@ -0,0 +1,120 @@
+#include "sardinepoint/send_turns.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+send_turn* find_turn(turn_table& table, std::uint64_t id)
+{
+    const auto found = std::find_if(table.turns.begin(), table.turns.end(),
+                                    [id](const send_turn& turn) { return turn.id == id; });
+    return found == table.turns.end() ? nullptr : &*found;
+}
+
+void check_turns(send_turns& turns);
+
+/** Looks again soon while an answer waits. */
+void schedule_check(send_turns& turns)
+{
+    if (turns.check || turns.waiting.empty())
+    {
+        return;
+    }
+    turns.check = run_after(*turns.loop, turns.table.options.stall / 2,
+                            [&turns]
+                            {
+                                turns.check.reset();
+                                check_turns(turns);
+                            });
+}
+
+void check_turns(send_turns& turns)
+{
+    for (const std::uint64_t id : begin_turns(turns.table, steady_now()))
+    {
+        auto entry = turns.waiting.extract(id);
+        if (!entry.empty())
+        {
+            // Later, since the caller may be in the middle of sending another answer.
+            run_after(*turns.loop, 0, std::move(entry.mapped()));
+        }
+    }
+    schedule_check(turns);
+}
+
+} // namespace
+
+std::uint64_t add_turn(turn_table& table)
+{
+    table.turns.push_back({.id = ++table.last_id});
+    return table.last_id;
+}
+
+std::vector<std::uint64_t> begin_turns(turn_table& table, time_ms now)
+{
+    auto sending = static_cast<std::size_t>(
+        std::count_if(table.turns.begin(), table.turns.end(),
+                      [&](const send_turn& turn)
+                      { return turn.active && now - turn.progress_at < table.options.stall; }));
+    std::vector<std::uint64_t> begun;
+    for (send_turn& turn : table.turns)
+    {
+        if (sending >= table.options.most_active)
+        {
+            break;
+        }
+        if (!turn.active)
+        {
+            turn.active = true;
+            turn.progress_at = now;
+            begun.push_back(turn.id);
+            ++sending;
+        }
+    }
+    return begun;
+}
+
+bool is_active(const turn_table& table, std::uint64_t id)
+{
+    return std::any_of(table.turns.begin(), table.turns.end(),
+                       [id](const send_turn& turn) { return turn.id == id && turn.active; });
+}
+
+void note_progress(turn_table& table, std::uint64_t id, time_ms now)
+{
+    if (send_turn* turn = find_turn(table, id))
+    {
+        turn->progress_at = now;
+    }
+}
+
+void end_turn(turn_table& table, std::uint64_t id)
+{
+    std::erase_if(table.turns, [id](const send_turn& turn) { return turn.id == id; });
+}
+
+std::uint64_t ask_turn(send_turns& turns, std::function<void()> begin)
+{
+    const std::uint64_t id = add_turn(turns.table);
+    check_turns(turns);
+    if (!is_active(turns.table, id))
+    {
+        turns.waiting[id] = std::move(begin);
+        schedule_check(turns);
+    }
+    return id;
+}
+
+void give_turn_back(send_turns& turns, std::uint64_t id)
+{
+    end_turn(turns.table, id);
+    turns.waiting.erase(id);
+    check_turns(turns);
+}
+
+} // namespace sardinepoint
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -136,35 +136,38 @@
     const platform_adapter* adapter = registry<platform_adapter>::find(self.config.platform);
     self.side = std::make_unique<sidecar>();
     self.side->dialect = &adapter->calls;
+    self.side->turns.loop = self.loop;
     self.side->retry_bounds = {.ratio = self.config.sidecar.retry_ratio,
                                .window = self.config.sidecar.retry_window,
                                .extra = self.config.sidecar.retry_extra};
     self.side->peer_pool = open_connection_pool(*self.loop);
-    self.side->outbound_server =
-        open_pipelined_server(*self.loop, {.address = *self.config.sidecar.outbound},
-                              {.on_request = [&self](request_id id, http_request request)
-                               { handle_outbound_request(self, id, std::move(request)); },
-                               .on_cancelled =
-                                   [&self](request_id id)
-                               {
-                                   handle_outbound_cancelled(self, id);
-                               }},
-                              reason);
-    if (!self.side->outbound_server)
-    {
-        return false;
-    }
-    self.side->inbound_server = open_pipelined_server(
-        *self.loop,
-        {.address = {self.config.address, self.config.data_port}, .limits = peer_limits},
+    self.side->outbound_server = open_pipelined_server(
+        *self.loop, {.address = *self.config.sidecar.outbound, .turns = &self.side->turns},
         {.on_request = [&self](request_id id, http_request request)
-         { handle_inbound_request(self, id, std::move(request)); },
+         { handle_outbound_request(self, id, std::move(request)); },
          .on_cancelled =
              [&self](request_id id)
          {
-             handle_inbound_cancelled(self, id);
+             handle_outbound_cancelled(self, id);
          }},
         reason);
+    if (!self.side->outbound_server)
+    {
+        return false;
+    }
+    self.side->inbound_server =
+        open_pipelined_server(*self.loop,
+                              {.address = {self.config.address, self.config.data_port},
+                               .limits = peer_limits,
+                               .turns = &self.side->turns},
+                              {.on_request = [&self](request_id id, http_request request)
+                               { handle_inbound_request(self, id, std::move(request)); },
+                               .on_cancelled =
+                                   [&self](request_id id)
+                               {
+                                   handle_inbound_cancelled(self, id);
+                               }},
+                              reason);
     if (!self.side->inbound_server)
     {
         return false;
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -52,6 +52,8 @@
 struct sidecar
 {
     const call_dialect* dialect = nullptr;
+    /** Shared by both listeners; goes after them. */
+    send_turns turns;
     pipelined_server_ptr outbound_server;
     /** Calls from the daemons of other VMs. */
     pipelined_server_ptr inbound_server;
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -29,6 +29,7 @@
 struct served_caller
 {
     event_loop_ptr loop = make_event_loop();
+    send_turns turns{.loop = this->loop.get(), .table = {.options = {.most_active = 1}}};
     std::vector<std::pair<request_id, http_request>> requests;
     std::vector<std::uint64_t> cancelled;
     pipelined_server_ptr server;
@@ -48,17 +49,20 @@
     explicit served_caller(caller_limits limits = {}, std::size_t max_pipelined = 64)
     {
         error reason;
-        this->server = open_pipelined_server(
-            *this->loop,
-            {.address = {"127.0.0.1", 0}, .max_pipelined = max_pipelined, .limits = limits},
-            {.on_request = [this](request_id id, http_request request)
-             { this->requests.emplace_back(id, std::move(request)); },
-             .on_cancelled =
-                 [this](request_id id)
-             {
-                 this->cancelled.push_back(id.value);
-             }},
-            reason);
+        this->server =
+            open_pipelined_server(*this->loop,
+                                  {.address = {"127.0.0.1", 0},
+                                   .max_pipelined = max_pipelined,
+                                   .limits = limits,
+                                   .turns = &this->turns},
+                                  {.on_request = [this](request_id id, http_request request)
+                                   { this->requests.emplace_back(id, std::move(request)); },
+                                   .on_cancelled =
+                                       [this](request_id id)
+                                   {
+                                       this->cancelled.push_back(id.value);
+                                   }},
+                                  reason);
         BOOST_REQUIRE_MESSAGE(this->server, describe(reason));
         this->connect();
     }
@@ -289,6 +293,33 @@
     BOOST_TEST(test.run_until([&] { return open_connections(*test.server) == 1; }));
 }
 
+// Guards against large answers that share the link, and against one whose caller reads nothing
+// keeping the next one waiting for good.
+BOOST_AUTO_TEST_CASE(large_answers_are_sent_in_turn)
+{
+    constexpr std::size_t large = 8U << 20U;
+    served_caller test;
+    test.turns.table.options.stall = 600;
+    test.send(get("/first"));
+    BOOST_REQUIRE(test.run_until([&] { return test.requests.size() == 1; }));
+    test.answer(0, std::string(large, 'a'));
+    const served_caller::close_fd first{test.caller};
+    test.connect();
+    test.send(get("/small") + get("/second"));
+    BOOST_REQUIRE(test.run_until([&] { return test.requests.size() == 3; }));
+    test.answer(1, "small");
+    test.answer(2, std::string(large, 'b'));
+    rig::run_for(*test.loop, 300);
+    std::string before(large, ' ');
+    const ssize_t sent = ::recv(test.caller, before.data(), before.size(), MSG_DONTWAIT);
+    BOOST_TEST_REQUIRE(sent > 0);
+    before.resize(static_cast<std::size_t>(sent));
+    BOOST_TEST(before.find("small") != std::string::npos);
+    // No more of the large one than small ones may be.
+    BOOST_TEST(before.size() < 20U << 10U);
+    BOOST_TEST(before.size() + test.receive(large).size() >= large);
+}
+
 // Guards against calls that are lost at the end of a planned stop: the system has accepted their
 // connection and the daemon ends without having looked.
 BOOST_AUTO_TEST_CASE(waiting_connections_are_taken_before_others_are_refused)
--- /dev/null
+++ b/test/send-turns-test.cpp
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE send_turns
+#include <boost/test/unit_test.hpp>
+
+#include "rig/loop.hpp"
+
+#include "sardinepoint/send_turns.hpp"
+
+#include <algorithm>
+#include <vector>
+
+using namespace sardinepoint;
+
+namespace
+{
+
+using ids = std::vector<std::uint64_t>;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(turns_begin_in_the_order_in_which_they_were_asked_for)
+{
+    turn_table table{.options = {.most_active = 2, .stall = 200}};
+    const std::uint64_t first = add_turn(table);
+    const std::uint64_t second = add_turn(table);
+    const std::uint64_t third = add_turn(table);
+    const std::uint64_t fourth = add_turn(table);
+    BOOST_TEST((begin_turns(table, 0) == ids{first, second}));
+    BOOST_TEST(!is_active(table, third));
+    BOOST_TEST(begin_turns(table, 1).empty());
+    end_turn(table, second);
+    BOOST_TEST((begin_turns(table, 2) == ids{third}));
+    end_turn(table, first);
+    end_turn(table, third);
+    BOOST_TEST((begin_turns(table, 3) == ids{fourth}));
+}
+
+// Guards against a receiver that reads nothing, or has been cut off, keeping all others waiting.
+BOOST_AUTO_TEST_CASE(stalled_turns_keep_nobody_waiting)
+{
+    turn_table table{.options = {.most_active = 1, .stall = 200}};
+    const std::uint64_t stalled = add_turn(table);
+    const std::uint64_t next = add_turn(table);
+    const std::uint64_t last = add_turn(table);
+    BOOST_TEST((begin_turns(table, 0) == ids{stalled}));
+    note_progress(table, stalled, 100);
+    BOOST_TEST(begin_turns(table, 299).empty());
+    BOOST_TEST((begin_turns(table, 300) == ids{next}));
+    // It goes on when its receiver reads again, and counts from then on.
+    BOOST_TEST(is_active(table, stalled));
+    note_progress(table, stalled, 400);
+    end_turn(table, next);
+    BOOST_TEST(begin_turns(table, 401).empty());
+    end_turn(table, stalled);
+    BOOST_TEST((begin_turns(table, 402) == ids{last}));
+}
+
+BOOST_AUTO_TEST_CASE(waiting_turns_are_called_when_they_begin)
+{
+    const event_loop_ptr loop = make_event_loop();
+    send_turns turns{.loop = loop.get(), .table = {.options = {.most_active = 1, .stall = 50}}};
+    int begun = 0;
+    const std::uint64_t first = ask_turn(turns, [&] { begun += 100; });
+    BOOST_TEST(is_active(turns.table, first));
+    const std::uint64_t second = ask_turn(turns, [&] { ++begun; });
+    const std::uint64_t third = ask_turn(turns, [&] { ++begun; });
+    give_turn_back(turns, second);
+    BOOST_TEST(begun == 0);
+    // The first one makes no progress.
+    BOOST_TEST(rig::run_until(*loop, 1000, [&] { return begun == 1; }));
+    BOOST_TEST(is_active(turns.table, third));
+}
+
+// Guards against small answers that wait behind large ones: an answer of 400 bytes took 0.5 s and
+// more while ten answers of 280 KB shared a link of 15 Mbit/s. Replays that load with a virtual
+// clock: each connection has up to 64 KB under way, the link sends in the order of arrival.
+BOOST_AUTO_TEST_CASE(small_answers_pass_large_ones_on_a_slow_link)
+{
+    static constexpr double link_bytes_per_ms = 1875;
+    static constexpr double window = 65'536;
+    static constexpr double large = 280'000;
+    static constexpr int downloads = 10;
+    const auto wait_of_small_answers = [](std::size_t most_active)
+    {
+        turn_table table{.options = {.most_active = most_active}};
+        std::vector<double> left(downloads, large);
+        for (int i = 0; i < downloads; ++i)
+        {
+            add_turn(table);
+        }
+        double longest = 0;
+        for (time_ms now = 0; !table.turns.empty(); now += 10)
+        {
+            begin_turns(table, now);
+            double queued = 0;
+            for (const send_turn& turn : table.turns)
+            {
+                queued += turn.active ? std::min(window, left[turn.id - 1]) : 0;
+            }
+            longest = std::max(longest, queued / link_bytes_per_ms);
+            double sent = 10 * link_bytes_per_ms;
+            for (const send_turn turn : std::vector(table.turns))
+            {
+                if (turn.active && sent > 0)
+                {
+                    const double part = std::min(sent, left[turn.id - 1]);
+                    left[turn.id - 1] -= part;
+                    sent -= part;
+                    note_progress(table, turn.id, now);
+                }
+                if (left[turn.id - 1] <= 0)
+                {
+                    end_turn(table, turn.id);
+                }
+            }
+        }
+        return longest;
+    };
+    BOOST_TEST(wait_of_small_answers(downloads) > 300);
+    BOOST_TEST(wait_of_small_answers(turn_options{}.most_active) < 100);
+}
