Probe a silent daemon until it answers; connect anew for calls that run once

Cause: a daemon that did not answer a probe was avoided for 1 s, then calls found out again that it was silent, 0.5 s each, until membership took it for dead 2 to 4 s later; while a locality was cut off, 300 answers a second were 502 or 504. Calls that may run only once went into kept connections to daemons that had been cut off, and could not be given to another one.

Ruled out: slow verdicts of membership alone (each caller learns of the silence within 0.5 s).

A call that runs once uses a kept connection to another daemon only if it was used in the last 100 ms, and opens one otherwise: what can't be reached takes no call.

The test of the silent daemon fails on the code before.

--- a/include/sardinepoint/connection_pool.hpp
+++ b/include/sardinepoint/connection_pool.hpp
@@ -64,6 +64,9 @@
 /** Longest idle time of a kept connection to an upstream on which a call may still be sent. */
 time_ms usable_idle(bool repeatable);
 
+/** The same for a connection to another daemon. */
+time_ms usable_peer_idle(bool repeatable);
+
 /** Number of open connections, kept ones included. */
 std::size_t open_connections(const connection_pool& pool);
 
--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -41,6 +41,12 @@
 constexpr time_ms repeatable_idle_ms = 5000;
 // A call that may not be repeated must not meet a connection that the upstream is closing.
 constexpr time_ms single_run_idle_ms = 1000;
+// Daemons keep idle connections for a minute.
+constexpr time_ms peer_idle_ms = 8000;
+// A call that may run only once is lost if its peer can't be reached. A connection that was idle
+// for longer than this says nothing about that; a new one is refused or not accepted in time, and
+// the call can go elsewhere. Longer than the pauses between calls to a busy peer.
+constexpr time_ms single_run_peer_idle_ms = 100;
 
 enum class connection_stage
 {
@@ -676,6 +682,11 @@
     return repeatable ? repeatable_idle_ms : single_run_idle_ms;
 }
 
+time_ms usable_peer_idle(bool repeatable)
+{
+    return repeatable ? peer_idle_ms : single_run_peer_idle_ms;
+}
+
 std::size_t open_connections(const connection_pool& pool)
 {
     return pool.connections.size();
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -23,8 +23,6 @@
 constexpr time_ms newer_config_retry_after_ms = 500;
 constexpr int default_attempts = 2;
 constexpr time_ms peer_connect_timeout_ms = 300;
-// Peers keep idle connections for a minute.
-constexpr time_ms peer_idle_ms = 8000;
 constexpr time_ms default_time_ms = 5000;
 // A call with less time left can't be answered.
 constexpr time_ms least_time_ms = 5;
@@ -378,7 +376,7 @@
                                    .body = std::move(request.body),
                                    .timeout = left,
                                    .connect_timeout = std::min(left, peer_connect_timeout_ms),
-                                   .max_idle = peer_idle_ms,
+                                   .max_idle = usable_peer_idle(call.idempotent),
                                    .repeatable = call.idempotent},
                                   [&self, id](http_result answer)
                                   {
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -32,6 +32,8 @@
 {
     time_ms heard_at = 0;
     time_ms probed_at = 0;
+    /** The last probe was not answered: probed again until one is. */
+    bool silent = false;
     /** Time that calls lately spent on the way there and back. */
     double way = 0;
 };
--- a/test/pool-test.cpp
+++ b/test/pool-test.cpp
@@ -369,3 +369,31 @@
     BOOST_REQUIRE(this->ended());
     BOOST_TEST(this->result->response.status == 200);
 }
+
+// Guards against calls that may run only once being lost to a peer that was cut off: the connection
+// that is kept to it is silent, while a new one is not accepted.
+BOOST_FIXTURE_TEST_CASE(single_run_call_meets_no_silent_peer, raw_peer)
+{
+    constexpr time_ms pause_ms = 300;
+    const auto call_after_pause = [&](bool repeatable)
+    {
+        this->run_until([since = steady_now()] { return steady_now() - since > pause_ms; });
+        pool_call call = this->get();
+        call.max_idle = usable_peer_idle(repeatable);
+        call.repeatable = repeatable;
+        this->start(std::move(call));
+    };
+    this->start(this->get());
+    BOOST_REQUIRE(!this->receive(0).empty());
+    this->send(0, ok("x"));
+    BOOST_REQUIRE(this->ended());
+    call_after_pause(true);
+    BOOST_REQUIRE(!this->receive(0).empty());
+    this->send(0, ok("x"));
+    BOOST_REQUIRE(this->ended());
+    // The peer has gone: the kept connection would have taken the call.
+    this->stop_listening();
+    call_after_pause(false);
+    BOOST_REQUIRE(this->ended());
+    BOOST_TEST((this->result->outcome == call_outcome::not_sent));
+}
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -465,6 +465,64 @@
     BOOST_TEST(this->store.calls - before <= this->readers * watched_ms / poll_ms + other_calls);
 }
 
+namespace
+{
+
+/** Calls begin beside a desk and go to one of two boards. */
+struct two_boards : rig::fleet
+{
+    two_boards() : rig::fleet(SARDINEPOINT_BIN_DIR, "sidecar-silence")
+    {
+        this->publish(1, {"board", "desk"});
+        for (const char* service : {"desk", "board", "board"})
+        {
+            this->add(service);
+        }
+        BOOST_REQUIRE(this->wait_served("board", start_limit_ms));
+        BOOST_REQUIRE(this->wait_members(3, start_limit_ms));
+    }
+
+    /** Calls a board for some time; returns how often an answer took long. */
+    int slow_calls(time_ms time)
+    {
+        constexpr time_ms slow_ms = 200;
+        int slow = 0;
+        const time_ms end = steady_now() + time;
+        while (steady_now() < end)
+        {
+            const time_ms started = steady_now();
+            this->call(*this->daemons.front(), {});
+            slow += steady_now() - started > slow_ms ? 1 : 0;
+        }
+        return slow;
+    }
+};
+
+} // namespace
+
+// Guards against calls that find out again and again that a daemon is still silent: each of them
+// took half a second of its caller's time.
+BOOST_FIXTURE_TEST_CASE(silent_daemon_gets_calls_again_when_it_answers, two_boards)
+{
+    // Until membership takes it for dead, only its silence is known.
+    constexpr time_ms found_ms = 900;
+    constexpr time_ms suspected_ms = 1000;
+    const rig::fleet_daemon& frozen = *this->daemons.back();
+    frozen.run->signal(SIGSTOP);
+    this->slow_calls(found_ms);
+    const int slow = this->slow_calls(suspected_ms);
+    frozen.run->signal(SIGCONT);
+    BOOST_TEST(slow == 0);
+    this->seen.clear();
+    constexpr time_ms heard_ms = 3000;
+    BOOST_TEST(this->run_until(heard_ms,
+                               [&]
+                               {
+                                   this->call(*this->daemons.front(), {});
+                                   return this->seen.back().instance == frozen.upstream->instance;
+                               }));
+}
+
 // Guards against a configuration that waits for a daemon that follows the store and is frozen.
 BOOST_FIXTURE_TEST_CASE(frozen_reader_delays_no_configuration, three_readers)
 {
