Draw three instances for each call and take the best of them

Tried and left: daemons that pass on the newest eight queue reports with each answer.

Change: the best of three that are drawn from all, and the one on the own VM, whose queue is known.

--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -66,6 +66,9 @@
     double way_gain = 0.2;
     /** A link that was slow is tried again after some times this long. */
     time_ms way_memory = 1000;
+    /** Instances drawn at random of which the best gets the call; 0 considers all. Many daemons
+     * know much the same, and would send their calls to the same instance until it is full. */
+    std::size_t choices = 3;
 };
 
 struct placement_request
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -387,6 +387,19 @@
                                   });
 }
 
+/** The queue on this VM is known without a report. */
+void note_own_queue(node& self, const std::string& service)
+{
+    if (!self.side->served || self.side->served->announced.service != service)
+    {
+        return;
+    }
+    if (instance_view* own = find_instance(self, service, self.side->served->announced.instance))
+    {
+        note_report(*own, report_queue(self), steady_now());
+    }
+}
+
 void offer_call(node& self, std::uint64_t id)
 {
     outbound_call& call = *find_call(self, id);
@@ -401,6 +414,7 @@
         return;
     }
     instance_group& group = instances_of(self, call.service);
+    note_own_queue(self, call.service);
     const auto chosen = choose_instance(self, call, group);
     if (!chosen)
     {
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "sardinepoint/placement.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinepoint
 {
@@ -62,6 +63,51 @@
     return cost * (1 + std::uniform_real_distribution<double>(0, options.noise)(rng));
 }
 
+/** Positions of the instances that may get the call; suspended ones only if there are no others. */
+std::vector<std::size_t> usable(std::span<const instance_view> views,
+                                const placement_request& request, time_ms now)
+{
+    std::vector<std::size_t> sound;
+    std::vector<std::size_t> suspended;
+    const std::size_t count = request.eligible ? request.eligible->size() : views.size();
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        const std::size_t i = request.eligible ? (*request.eligible)[n] : n;
+        const bool tried = std::find(request.tried.begin(), request.tried.end(),
+                                     views[i].instance) != request.tried.end();
+        if (!tried)
+        {
+            (now < views[i].suspended_until ? suspended : sound).push_back(i);
+        }
+    }
+    return sound.empty() ? suspended : sound;
+}
+
+/** The usable instances, or some of them drawn at random and the one on the own VM. */
+std::vector<std::size_t> candidates(std::span<const instance_view> views,
+                                    const placement_request& request,
+                                    const placement_options& options, time_ms now,
+                                    std::mt19937_64& rng)
+{
+    std::vector<std::size_t> all = usable(views, request, now);
+    if (options.choices == 0 || all.size() <= options.choices)
+    {
+        return all;
+    }
+    std::vector<std::size_t> drawn;
+    std::sample(all.begin(), all.end(), std::back_inserter(drawn),
+                static_cast<std::ptrdiff_t>(options.choices), rng);
+    // Other daemons don't send calls there at the same time for being near.
+    const auto own =
+        std::find_if(all.begin(), all.end(),
+                     [&](std::size_t i) { return views[i].member == request.own_member; });
+    if (own != all.end() && std::find(drawn.begin(), drawn.end(), *own) == drawn.end())
+    {
+        drawn.push_back(*own);
+    }
+    return drawn;
+}
+
 } // namespace
 
 double expected_wait(const instance_view& view, const placement_options& options, time_ms now)
@@ -93,28 +139,14 @@
 {
     std::optional<std::size_t> best;
     double best_cost = 0;
-    bool best_suspended = true;
     const double shortest = shortest_hold(views);
-    const std::size_t count = request.eligible ? request.eligible->size() : views.size();
-    for (std::size_t n = 0; n < count; ++n)
+    for (const std::size_t i : candidates(views, request, options, now, rng))
     {
-        const std::size_t i = request.eligible ? (*request.eligible)[n] : n;
-        const instance_view& view = views[i];
-        const bool tried = std::find(request.tried.begin(), request.tried.end(), view.instance) !=
-                           request.tried.end();
-        if (tried)
-        {
-            continue;
-        }
-        const bool suspended = now < view.suspended_until;
-        const double cost = cost_of(view, request, options, shortest, now, rng);
-        const bool better = !best || (best_suspended && !suspended) ||
-                            (best_suspended == suspended && cost < best_cost);
-        if (better)
+        const double cost = cost_of(views[i], request, options, shortest, now, rng);
+        if (!best || cost < best_cost)
         {
             best = i;
             best_cost = cost;
-            best_suspended = suspended;
         }
     }
     if (!best)
--- a/support/model/load_model.cpp
+++ b/support/model/load_model.cpp
@@ -356,6 +356,12 @@
     const std::string locality = std::to_string(daemon.locality);
     const placement_request request{
         .own_member = member, .locality = locality, .tried = call->tried};
+    if (daemon.service == service)
+    {
+        instance_view& own =
+            daemon.views[service][call->daemon - this->of_service[service].front()];
+        sardinepoint::note_report(own, sardinepoint::report_of(daemon.queue), this->now_ms());
+    }
     const auto chosen =
         call->offers < this->decisions.most_offers && this->now < call->deadline
             ? sardinepoint::place_call(daemon.views[service], request, this->decisions.placing,
--- a/support/model/load_policy.cpp
+++ b/support/model/load_policy.cpp
@@ -49,6 +49,7 @@
         {"least_share", field_of(&policy::admission, &admission_options::least_share)},
         {"noise", field_of(&policy::placing, &placement_options::noise)},
         {"locality_cost", field_of(&policy::placing, &placement_options::locality_cost)},
+        {"choices", field_of(&policy::placing, &placement_options::choices)},
         {"most_offers", field_of(&policy::most_offers)},
         {"return_factor", field_of(&policy::return_factor)},
         {"knows_first_attempt", field_of(&policy::knows_first_attempt)},
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -5,6 +5,7 @@
 #include "sardinepoint/retry_ledger.hpp"
 #include "sardinepoint/route_table.hpp"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <string>
@@ -242,3 +243,52 @@
     }
     BOOST_TEST(!take_repeat(ledger, "behind", limits, 1, 5000));
 }
+
+// Guards against many daemons that know the same and send all calls of a moment to one instance.
+// On a day of high load with 75 daemons 4,982 answers were 503; 3,052 with the draw.
+BOOST_AUTO_TEST_CASE(daemons_that_know_the_same_spread_their_calls)
+{
+    constexpr int instances = 30;
+    constexpr int daemons = 60;
+    std::vector<instance_view> views;
+    for (int i = 0; i < instances; ++i)
+    {
+        // One of them is a little faster than the others.
+        views.push_back(view_of(std::to_string(i), {.running = 5, .hold = i == 0 ? 80 : 100}, 900));
+    }
+    const auto most_calls = [&](std::size_t choices)
+    {
+        std::mt19937_64 random{7};
+        std::map<std::size_t, int> calls;
+        for (int i = 0; i < daemons; ++i)
+        {
+            ++calls[place_call(views, {.locality = "a"}, {.choices = choices}, 1000, random)
+                        ->index];
+        }
+        return std::max_element(calls.begin(), calls.end(),
+                                [](const auto& left, const auto& right)
+                                { return left.second < right.second; })
+            ->second;
+    };
+    constexpr int free_slots = 5;
+    BOOST_TEST(most_calls(0) > 4 * free_slots);
+    BOOST_TEST(most_calls(placement_options{}.choices) <= 2 * free_slots);
+}
+
+// Guards against drawing past the instance on the own VM, which costs no way at all.
+BOOST_AUTO_TEST_CASE(own_instance_is_always_considered)
+{
+    std::vector<instance_view> views;
+    for (int i = 0; i < 30; ++i)
+    {
+        views.push_back(view_of(std::to_string(i), {.running = 5, .hold = 200}, 900));
+    }
+    views[17].report.hold = 50;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        std::mt19937_64 random{seed};
+        const auto chosen =
+            place_call(views, {.own_member = "vm-17", .locality = "a"}, {}, 1000, random);
+        BOOST_TEST(chosen->index == 17U);
+    }
+}
