Pass small changes of the configuration on to peers as deltas

Cause: whole configurations are 30 to 240 KB, so daemons that were told of a new one read it from the store: one read a daemon and change.

Ruled out: pushing whole records to four children each (4.3 MB a version over a link of 15 Mbit/s).

Change: a reader folds the whole configuration and pushes what differs from the one before, if that is 8 KB at most; it applies only to the version that it was made from. A daemon that is told of something waits 150 ms for the push before it reads; larger changes and orders are read as before. Daemons keep deltas for peers that lag, who ask for the whole state if a delta doesn't fit.

Tests: the states by delta and by whole are equal; a delta to another version changes nothing; small_change_is_read_by_the_readers_only fails on the code before.

--- a/include/sardinepoint/config.hpp
+++ b/include/sardinepoint/config.hpp
@@ -20,6 +20,8 @@
     std::string service;
     /** Relative to the weights of the route's other targets. */
     double weight = 0;
+
+    bool operator==(const split_target&) const = default;
 };
 
 /** Sends calls whose path starts with the prefix to a service. */
@@ -41,6 +43,8 @@
     int priority = 0;
     /** Most upstreams that one call may be sent to; 0 leaves it to the daemon. */
     int max_attempts = 0;
+
+    bool operator==(const route&) const = default;
 };
 
 /** Traffic shares of a service's versions, in whole percent with sum 100. */
@@ -215,6 +219,20 @@
     caller_limits limits;
 };
 
+/** What changes from the configuration of one version to a whole configuration. */
+struct config_delta
+{
+    /** Version that it applies to. */
+    std::uint64_t base = 0;
+    std::uint64_t version = 0;
+    /** New and changed routes. */
+    std::map<std::string, route> routes;
+    std::vector<std::string> removed_routes;
+    /** All services: they are few. */
+    std::map<std::string, service_config> services;
+    caller_limits limits;
+};
+
 /** An operator's order to move a service's traffic to one version within a time. */
 struct move_order
 {
@@ -233,7 +251,15 @@
 std::string dump_whole_config(const whole_config& config);
 std::string dump_order(const move_order& order);
 
+/** The steps from the state to the configuration, and the state after them. */
+config_delta make_delta(const config_state& state, const whole_config& next);
+whole_config apply_delta(const config_state& state, const config_delta& delta);
+
+/** The delta as the JSON text of a record that daemons pass on to each other. */
+std::string dump_delta(const config_delta& delta);
+
 /** Inverses; unknown keys and wrong types are rejected, naming the key and the remedy. */
+std::optional<config_delta> parse_delta(std::string_view json, error& reason);
 std::optional<whole_config> parse_whole_config(std::string_view json, error& reason);
 std::optional<move_order> parse_order(std::string_view json, error& reason);
 
--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -297,16 +297,10 @@
     return result;
 }
 
-fold_result fold_whole_config(config_state& state, const log_record& record)
+fold_result fold_whole_config(config_state& state, whole_config next)
 {
-    fold_result result;
-    auto next = record.whole ? record.whole : parse_whole_config(record.body, result.reason);
-    if (!next)
-    {
-        return result;
-    }
-    result.id = std::to_string(next->version);
-    if (next->version <= state.version)
+    fold_result result{.id = std::to_string(next.version)};
+    if (next.version <= state.version)
     {
         result.kind = fold_kind::outcome_ignored;
         result.reason = invalid("version " + result.id + " is not newer than version " +
@@ -314,14 +308,42 @@
                                 "publish with a higher version");
         return result;
     }
-    state.version = next->version;
-    state.routes = std::move(next->routes);
-    state.services = std::move(next->services);
-    state.limits = next->limits;
+    state.version = next.version;
+    state.routes = std::move(next.routes);
+    state.services = std::move(next.services);
+    state.limits = next.limits;
     result.kind = fold_kind::state_replaced;
     return result;
 }
 
+fold_result fold_whole_text(config_state& state, const log_record& record)
+{
+    error reason;
+    auto next = parse_whole_config(record.body, reason);
+    return next ? fold_whole_config(state, std::move(*next)) : fold_result{.reason = reason};
+}
+
+/** A delta to another version than the state's says nothing: the record itself is still needed. */
+fold_result fold_delta(config_state& state, const log_record& record)
+{
+    fold_result result;
+    const auto delta = parse_delta(record.body, result.reason);
+    if (!delta)
+    {
+        return result;
+    }
+    if (delta->base != state.version)
+    {
+        --state.next_offset;
+        result.kind = fold_kind::out_of_order;
+        result.reason = invalid("the delta is to version " + std::to_string(delta->base) +
+                                    ", the state has version " + std::to_string(state.version),
+                                "read the record from the log");
+        return result;
+    }
+    return fold_whole_config(state, apply_delta(state, *delta));
+}
+
 fold_result fold_order(config_state& state, const log_record& record)
 {
     fold_result result;
@@ -418,7 +440,7 @@
     ++state.next_offset;
     if (record.whole)
     {
-        return fold_whole_config(state, record);
+        return fold_whole_config(state, *record.whole);
     }
     const json body = json::parse(record.body, nullptr, false);
     if (!body.is_object() || !body.contains("kind") || !body["kind"].is_string())
@@ -438,7 +460,11 @@
     }
     if (kind == "whole")
     {
-        return fold_whole_config(state, record);
+        return fold_whole_text(state, record);
+    }
+    if (kind == "delta")
+    {
+        return fold_delta(state, record);
     }
     if (kind == "order")
     {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -66,6 +66,8 @@
     /** Steady time up to which the state is known to have held all records of the log. */
     time_ms fresh_at = 0;
     bool log_reachable = false;
+    /** The next record is known only as a delta to another version than the state's. */
+    bool delta_unusable = false;
     bool reading = false;
     time_ms next_read = 0;
     time_ms snapshot_at = 0;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -27,9 +27,14 @@
 // same for other traffic. Then peers are asked.
 constexpr time_ms told_read_ms = 400;
 constexpr std::size_t kept_records = 1024;
+// A daemon that was told of a change usually gets it from a peer within this time: pushes of
+// several peers cross, and each passes up to three daemons on its way.
+constexpr time_ms push_wait_ms = 150;
 // Whole configurations are large; a peer that lacks more gets a snapshot.
 constexpr std::size_t kept_bytes = 512U << 10U;
 constexpr std::size_t most_records_per_message = 256;
+// A larger change is read from the log: sent on by each daemon to four others it would fill links.
+constexpr std::size_t most_pushed_bytes = 8U << 10U;
 constexpr int newest_snapshots = 3;
 constexpr time_ms retry_base_ms = 500;
 constexpr time_ms retry_jitter_ms = 500;
@@ -82,6 +87,28 @@
     config.recent_bytes = 0;
 }
 
+/**
+ * The record as it is kept for peers and passed on to them. Whole configurations are 30 to 240 KB,
+ * what changes is some hundred bytes.
+ */
+log_record compact_record(const config_state& before, const log_record& record)
+{
+    if (!record.whole)
+    {
+        return record;
+    }
+    return {.offset = record.offset,
+            .appended = record.appended,
+            .body = dump_delta(make_delta(before, *record.whole))};
+}
+
+/** Whether the record is passed on at once. Orders are read from the log, where all daemons give
+    them the same time. */
+bool is_pushed(const log_record& original, const log_record& compact)
+{
+    return original.whole && compact.body.size() <= most_pushed_bytes;
+}
+
 /** Follows which records the newest whole configuration replaces. */
 void note_superseded(replica& config, const log_record& record, fold_kind kind)
 {
@@ -368,11 +395,11 @@
     replica& config = self.config_replica;
     const bool waiting = is_behind(self);
     config.told_offset = std::max(config.told_offset, next_offset);
-    tick_replica(self);
     if (waiting)
     {
         return;
     }
+    config.next_read = std::max(config.next_read, steady_now() + push_wait_ms);
     run_after(*self.loop, self.config.log_told_pause + told_read_ms,
               [&self, next_offset]
               {
@@ -460,6 +487,18 @@
     return source == "log" && (self.config.log_push_records || is_fetcher(self)) && !all_read(self);
 }
 
+/** A peer's delta that is next but to another version: peers have to send the whole state. */
+void note_unusable(replica& config, const log_record& record, const fold_result& result)
+{
+    if (record.offset != config.state.next_offset)
+    {
+        return;
+    }
+    config.delta_unusable = true;
+    log_event(log_level::info, "delta_unusable",
+              {{"offset", record.offset}, {"reason", result.reason.message}});
+}
+
 std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
 {
     replica& config = self.config_replica;
@@ -467,19 +506,22 @@
     std::size_t folded = 0;
     for (const log_record& record : records)
     {
+        const log_record compact = compact_record(config.state, record);
         const fold_result result = fold_record(config.state, record);
         if (result.kind == fold_kind::out_of_order)
         {
+            note_unusable(config, record, result);
             continue;
         }
         ++folded;
         count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
         log_fold(record, result, config.state.version, source);
-        keep_recent(config, record);
+        keep_recent(config, compact);
         note_superseded(config, record, result.kind);
-        if (spread && self.config.log_push_records)
+        config.delta_unusable = false;
+        if (spread && (self.config.log_push_records || is_pushed(record, compact)))
         {
-            self.pending.records.push_back(record);
+            self.pending.records.push_back(compact);
         }
     }
     if (folded == 0)
@@ -513,6 +555,7 @@
     }
     config.state = std::move(*state);
     config.superseded.reset();
+    config.delta_unusable = false;
     drop_recent(config);
     log_event(log_level::info, "snapshot_adopted",
               {{"source", source},
@@ -636,7 +679,7 @@
     return message;
 }
 
-json records_since(const node& self, std::uint64_t from)
+json records_since(const node& self, std::uint64_t from, bool whole)
 {
     const replica& config = self.config_replica;
     json message = freshness_message(self);
@@ -644,7 +687,7 @@
     {
         return message;
     }
-    if (config.recent.empty() || from < config.recent.front().offset)
+    if (whole || config.recent.empty() || from < config.recent.front().offset)
     {
         message["snapshot"] = make_snapshot(config.state);
         return message;
--- a/src/replica.hpp
+++ b/src/replica.hpp
@@ -63,9 +63,9 @@
 
 /**
  * The freshness and what a peer that has folded up to `from` lacks: records, or a snapshot if it is
- * too far back.
+ * too far back or asks for the whole state.
  */
-nlohmann::json records_since(const node& self, std::uint64_t from);
+nlohmann::json records_since(const node& self, std::uint64_t from, bool whole = false);
 
 /** Applies the answer of records_since. */
 void apply_records_message(node& self, const nlohmann::json& message, std::string_view source);
--- a/src/sync.cpp
+++ b/src/sync.cpp
@@ -42,7 +42,7 @@
 }
 
 /** Records for a peer that lags, within a budget for what all peers get here. */
-json share_records(node& self, std::uint64_t from)
+json share_records(node& self, std::uint64_t from, bool whole)
 {
     // A quarter of a link of 16 Mbit/s; calls need the rest.
     constexpr std::size_t shared_bytes_per_ms = 512;
@@ -51,7 +51,7 @@
     {
         return freshness_message(self);
     }
-    json message = records_since(self, from);
+    json message = records_since(self, from, whole);
     config.next_share =
         steady_now() + static_cast<time_ms>(bytes_of(message) / shared_bytes_per_ms);
     return message;
@@ -74,8 +74,9 @@
 {
     merge_crashes(self, body);
     merge_progress_list(self, array_in(body, "moves"));
-    json answer = body.value("records", true) ? share_records(self, counter_in(body, "next"))
-                                              : freshness_message(self);
+    json answer = body.value("records", true)
+                      ? share_records(self, counter_in(body, "next"), body.value("whole", false))
+                      : freshness_message(self);
     answer["digest"] = make_digest(self.members).root;
     answer["domain"] = self.config.domain;
     if (body.value("alone", false))
@@ -100,6 +101,10 @@
     {
         body["records"] = false;
     }
+    else if (self.config_replica.delta_unusable)
+    {
+        body["whole"] = true;
+    }
     if (alone_in_domain(self))
     {
         body["alone"] = true;
--- a/src/whole_config.cpp
+++ b/src/whole_config.cpp
@@ -24,6 +24,17 @@
 // An outcome is final once it is published, so nothing is left to watch.
 constexpr time_ms order_watch_ms = 0;
 
+template <typename Value>
+json values_json(const std::map<std::string, Value>& values)
+{
+    json all = json::array();
+    for (const auto& [name, value] : values)
+    {
+        all.push_back(detail::to_json(value));
+    }
+    return all;
+}
+
 } // namespace
 
 std::vector<move_step> order_steps()
@@ -39,24 +50,97 @@
 
 std::string dump_whole_config(const whole_config& config)
 {
-    json routes = json::array();
-    for (const auto& [name, value] : config.routes)
+    return json{{"kind", "whole"},
+                {"version", config.version},
+                {"routes", values_json(config.routes)},
+                {"services", values_json(config.services)},
+                {"limits", detail::to_json(config.limits)}}
+        .dump();
+}
+
+config_delta make_delta(const config_state& state, const whole_config& next)
+{
+    config_delta delta{.base = state.version,
+                       .version = next.version,
+                       .services = next.services,
+                       .limits = next.limits};
+    for (const auto& [name, value] : next.routes)
     {
-        routes.push_back(detail::to_json(value));
+        const auto before = state.routes.find(name);
+        if (before == state.routes.end() || before->second != value)
+        {
+            delta.routes[name] = value;
+        }
     }
-    json services = json::array();
-    for (const auto& [name, value] : config.services)
+    for (const auto& [name, value] : state.routes)
     {
-        services.push_back(detail::to_json(value));
+        if (!next.routes.contains(name))
+        {
+            delta.removed_routes.push_back(name);
+        }
     }
-    return json{{"kind", "whole"},
-                {"version", config.version},
-                {"routes", std::move(routes)},
-                {"services", std::move(services)},
-                {"limits", detail::to_json(config.limits)}}
+    return delta;
+}
+
+whole_config apply_delta(const config_state& state, const config_delta& delta)
+{
+    whole_config config{.version = delta.version,
+                        .routes = state.routes,
+                        .services = delta.services,
+                        .limits = delta.limits};
+    for (const std::string& name : delta.removed_routes)
+    {
+        config.routes.erase(name);
+    }
+    for (const auto& [name, value] : delta.routes)
+    {
+        config.routes[name] = value;
+    }
+    return config;
+}
+
+std::string dump_delta(const config_delta& delta)
+{
+    return json{{"kind", "delta"},
+                {"base", delta.base},
+                {"version", delta.version},
+                {"routes", values_json(delta.routes)},
+                {"removed_routes", delta.removed_routes},
+                {"services", values_json(delta.services)},
+                {"limits", detail::to_json(delta.limits)}}
         .dump();
 }
 
+std::optional<config_delta> parse_delta(std::string_view text, error& reason)
+{
+    reason = {};
+    const auto parsed = detail::parse_json(text, kind, reason);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    json_reader reader(*parsed, "delta", kind, reason);
+    reader.text_or("kind", "delta");
+    config_delta delta{.base = reader.counter("base"), .version = reader.counter("version")};
+    delta.routes = detail::read_routes(reader, kind, reason);
+    for (const json& name : reader.array("removed_routes"))
+    {
+        if (!name.is_string())
+        {
+            reader.fail("removed_routes", "has a name that is not a text", "give names of routes");
+            break;
+        }
+        delta.removed_routes.push_back(name.get<std::string>());
+    }
+    delta.services = detail::read_services(reader, kind, reason);
+    delta.limits = detail::read_limits(reader.object("limits"), kind, reason);
+    if (!reader.finish() || reason.kind != error_kind::none)
+    {
+        return std::nullopt;
+    }
+    return delta;
+}
+
 std::optional<whole_config> parse_whole_config(std::string_view text, error& reason)
 {
     reason = {};
--- a/test/fold-test.cpp
+++ b/test/fold-test.cpp
@@ -246,3 +246,63 @@
     BOOST_TEST((state.moves.at("board@0").state == move_state::running));
     BOOST_TEST((state.moves.at("board@1").state == move_state::running));
 }
+
+namespace
+{
+
+whole_config small_config(std::uint64_t version)
+{
+    whole_config config{.version = version};
+    for (const char* name : {"board", "desk"})
+    {
+        config.services[name] = {.name = name};
+        config.routes[name] = {.name = name, .prefix = "/" + std::string(name), .service = name};
+    }
+    return config;
+}
+
+} // namespace
+
+// Guards against daemons that hold different configurations of one version because one got it whole
+// and the other as a change.
+BOOST_AUTO_TEST_CASE(delta_gives_the_state_of_the_whole_configuration)
+{
+    config_state by_whole;
+    fold_record(by_whole, {.offset = 0, .whole = small_config(3)});
+    config_state by_delta = by_whole;
+    whole_config next = small_config(7);
+    next.routes.erase("board");
+    next.routes["desk"].timeout = 700;
+    next.routes["split"] = {
+        .name = "split",
+        .host = "h.example",
+        .prefix = "/split/",
+        .split = {{.service = "board", .weight = 1}, {.service = "desk", .weight = 2.5}}};
+    next.limits.max_body_bytes = 12345;
+    const std::string delta = dump_delta(make_delta(by_whole, next));
+    BOOST_TEST(
+        (fold_record(by_whole, {.offset = 1, .whole = next}).kind == fold_kind::state_replaced));
+    BOOST_TEST(
+        (fold_record(by_delta, {.offset = 1, .body = delta}).kind == fold_kind::state_replaced));
+    BOOST_TEST(dump_state(by_whole) == dump_state(by_delta));
+    BOOST_TEST(by_delta.next_offset == 2U);
+}
+
+// Guards against a change that is applied to another state than the one it was made from.
+BOOST_AUTO_TEST_CASE(delta_to_another_version_leaves_the_state)
+{
+    config_state state;
+    fold_record(state, {.offset = 0, .whole = small_config(3)});
+    config_state other;
+    fold_record(other, {.offset = 0, .whole = small_config(4)});
+    const std::string before = dump_state(state);
+    const std::string delta = dump_delta(make_delta(other, small_config(7)));
+    BOOST_TEST((fold_record(state, {.offset = 1, .body = delta}).kind == fold_kind::out_of_order));
+    BOOST_TEST(dump_state(state) == before);
+    for (const char* bad : {R"({"kind":"delta"})", R"({"kind":"delta","base":3,"version":"x"})"})
+    {
+        BOOST_TEST((fold_record(other, {.offset = other.next_offset, .body = bad}).kind ==
+                    fold_kind::malformed));
+    }
+    BOOST_TEST(other.version == 4U);
+}
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE sidecar
 #include <boost/test/unit_test.hpp>
+#include <cstring>
 
 #include "rig/fleet.hpp"
 #include "rig/mesh.hpp"
@@ -436,6 +437,26 @@
         return status_of(daemon).value("version", 0) >= version;
     }
 
+    /** Reads of the store that each daemon has made. */
+    std::vector<double> store_reads()
+    {
+        std::vector<double> reads;
+        for (const auto& daemon : this->daemons)
+        {
+            std::optional<std::string> text;
+            send_request(
+                *this->http,
+                {.url = "http://127.0.0.1:" + std::to_string(daemon->control_port) + "/metrics",
+                 .timeout = start_limit_ms},
+                [&](const http_result& result) { text = result.response.body; });
+            BOOST_REQUIRE(this->run_until(start_limit_ms, [&] { return text.has_value(); }));
+            const std::size_t found = text->find("log_reads ");
+            BOOST_REQUIRE(found != std::string::npos);
+            reads.push_back(std::stod(text->substr(found + std::strlen("log_reads "))));
+        }
+        return reads;
+    }
+
     /** Whether all daemons serve the version in time, but for one that may be frozen. */
     bool all_take(int version, const rig::fleet_daemon* frozen = nullptr)
     {
@@ -523,6 +544,52 @@
                                }));
 }
 
+// Guards against reads of the store by every daemon for each change: they grew with the fleet, and
+// in a series of changes each took 30 to 240 KB over the daemon's link.
+BOOST_FIXTURE_TEST_CASE(small_change_is_read_by_the_readers_only, three_readers)
+{
+    const std::vector<double> before = this->store_reads();
+    for (int version = 2; version < 6; ++version)
+    {
+        this->publish(version, {"board", "desk-" + std::to_string(version)});
+        BOOST_TEST(this->all_take(version));
+    }
+    const std::vector<double> after = this->store_reads();
+    int unchanged = 0;
+    for (std::size_t i = 0; i < before.size(); ++i)
+    {
+        unchanged += before[i] == after[i] ? 1 : 0;
+    }
+    BOOST_TEST(unchanged == 3);
+    // The routes of the change work, also where it came from a peer, and dropped ones don't.
+    for (const auto& daemon : this->daemons)
+    {
+        BOOST_TEST(this->call(*daemon, {.path = "/desk-5/x"}).response.status == 503);
+        BOOST_TEST(this->call(*daemon, {.path = "/desk-2/x"}).response.status == 404);
+    }
+}
+
+// Guards against large changes that are sent on by each daemon to several others.
+BOOST_FIXTURE_TEST_CASE(large_change_is_read_by_all, three_readers)
+{
+    const std::vector<double> before = this->store_reads();
+    std::set<std::string> services{"board"};
+    for (int i = 0; i < 60; ++i)
+    {
+        services.insert("desk-" + std::to_string(i));
+    }
+    this->publish(2, services);
+    BOOST_TEST(this->all_take(2));
+    const std::vector<double> after = this->store_reads();
+    for (std::size_t i = 0; i < before.size(); ++i)
+    {
+        BOOST_TEST(before[i] < after[i]);
+    }
+    // Changes to a state that came as a whole.
+    this->publish(3, {"board"});
+    BOOST_TEST(this->all_take(3));
+}
+
 // Guards against a configuration that waits for a daemon that follows the store and is frozen.
 BOOST_FIXTURE_TEST_CASE(frozen_reader_delays_no_configuration, three_readers)
 {
