Draw for calls with large answers from the own locality

Change: answers that cost 50 ms or more to cross (12 KB) are drawn from the own locality, and one other.

--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -69,6 +69,10 @@
     /** Instances drawn at random of which the best gets the call; 0 considers all. Many daemons
      * know much the same, and would send their calls to the same instance until it is full. */
     std::size_t choices = 3;
+    /** Cost in milliseconds of leaving the own locality from which on as many are drawn of the own
+     * locality and only one of the others: answers of 12 KB. Smaller ones cross for less than what
+     * it costs that one locality has more calls for its slots than the others. */
+    double near_cost = 50;
 };
 
 struct placement_request
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -50,15 +50,19 @@
     return view.way * decay(now - view.way_at, options.way_memory);
 }
 
+/** Cost of an answer from another locality. */
+double cost_of_leaving(const placement_request& request, const placement_options& options)
+{
+    return options.locality_cost + options.locality_cost_per_kb * request.reply_kb;
+}
+
 double cost_of(const instance_view& view, const placement_request& request,
                const placement_options& options, double shortest, time_ms now, std::mt19937_64& rng)
 {
     double cost = expected_wait(view, options, now) + hold_there(view, options, shortest, now);
     cost *= 1 + options.error_cost * view.error_share;
     cost += way_to(view, options, now);
-    cost += view.locality == request.locality
-                ? 0
-                : options.locality_cost + options.locality_cost_per_kb * request.reply_kb;
+    cost += view.locality == request.locality ? 0 : cost_of_leaving(request, options);
     cost += view.member == request.own_member ? 0 : static_cast<double>(options.hop_cost);
     return cost * (1 + std::uniform_real_distribution<double>(0, options.noise)(rng));
 }
@@ -94,9 +98,17 @@
     {
         return all;
     }
+    auto near_end = all.end();
+    if (cost_of_leaving(request, options) >= options.near_cost)
+    {
+        near_end =
+            std::partition(all.begin(), all.end(),
+                           [&](std::size_t i) { return views[i].locality == request.locality; });
+    }
     std::vector<std::size_t> drawn;
-    std::sample(all.begin(), all.end(), std::back_inserter(drawn),
+    std::sample(all.begin(), near_end, std::back_inserter(drawn),
                 static_cast<std::ptrdiff_t>(options.choices), rng);
+    std::sample(near_end, all.end(), std::back_inserter(drawn), 1, rng);
     // Other daemons don't send calls there at the same time for being near.
     const auto own =
         std::find_if(all.begin(), all.end(),
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -292,3 +292,36 @@
         BOOST_TEST(chosen->index == 17U);
     }
 }
+
+// Guards against large answers from other localities while there are instances near by: with the
+// draw from all, bytes between localities cost twice as much as before.
+BOOST_AUTO_TEST_CASE(large_answers_are_drawn_from_the_own_locality)
+{
+    std::vector<instance_view> views;
+    for (int i = 0; i < 30; ++i)
+    {
+        views.push_back(view_of(std::to_string(i), {.running = 5, .hold = 100}, 900));
+        views.back().locality = i < 5 ? "a" : "b";
+    }
+    const auto near_calls = [&](double reply_kb)
+    {
+        int near = 0;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed)
+        {
+            std::mt19937_64 random{seed};
+            const auto chosen =
+                place_call(views, {.locality = "a", .reply_kb = reply_kb}, {}, 1000, random);
+            near += views[chosen->index].locality == "a" ? 1 : 0;
+        }
+        return near;
+    };
+    BOOST_TEST(near_calls(90) == 100);
+    // Small ones go where there is room.
+    BOOST_TEST(near_calls(1) < 80);
+    // So do large ones when the own locality has none.
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        views[i].report = {.running = 10, .waiting = 30, .backlog = 900, .hold = 100};
+    }
+    BOOST_TEST(near_calls(90) < 20);
+}
