--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -70,9 +70,9 @@
      * know much the same, and would send their calls to the same instance until it is full. */
     std::size_t choices = 3;
     /** Cost in milliseconds of leaving the own locality from which on as many are drawn of the own
-     * locality and only one of the others: answers of 12 KB. Smaller ones cross for less than what
-     * it costs that one locality has more calls for its slots than the others. */
-    double near_cost = 50;
+     * locality and only one of the others: answers of 125 KB, whose way there costs more than that
+     * they come late. Smaller ones go where there is room: localities have unequal loads. */
+    double near_cost = 500;
 };
 
 struct placement_request
