--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -251,6 +251,7 @@
     constexpr int instances = 30;
     constexpr int daemons = 60;
     std::vector<instance_view> views;
+    views.reserve(instances);
     for (int i = 0; i < instances; ++i)
     {
         // One of them is a little faster than the others.
@@ -279,6 +280,7 @@
 BOOST_AUTO_TEST_CASE(own_instance_is_always_considered)
 {
     std::vector<instance_view> views;
+    views.reserve(30);
     for (int i = 0; i < 30; ++i)
     {
         views.push_back(view_of(std::to_string(i), {.running = 5, .hold = 200}, 900));
@@ -298,6 +300,7 @@
 BOOST_AUTO_TEST_CASE(large_answers_are_drawn_from_the_own_locality)
 {
     std::vector<instance_view> views;
+    views.reserve(30);
     for (int i = 0; i < 30; ++i)
     {
         views.push_back(view_of(std::to_string(i), {.running = 5, .hold = 100}, 900));
