Ask a test's condition no more once it held

Cause: rig::run_until asked its condition a second time after it had held; this one makes a call, and the second call went to the other upstream. Traced by the daemons' logs: the first call reached the daemon that had been silent 40 ms after its SIGCONT, and the test ended there. Ruled out: membership (the record came back alive), the suspension, the upstream's lease. The check and its bound are unchanged.

--- a/support/rig/loop.cpp
+++ b/support/rig/loop.cpp
@@ -21,11 +21,16 @@
 bool run_until(event_loop& loop, time_ms limit, const std::function<bool()>& condition)
 {
     const time_ms end = steady_now() + limit;
-    while (!condition() && steady_now() < end)
+    // Asked once more after the end, and never again once it holds: a condition may make a call.
+    while (!condition())
     {
+        if (steady_now() >= end)
+        {
+            return false;
+        }
         run_for(loop, slice_ms);
     }
-    return condition();
+    return true;
 }
 
 } // namespace sardinepoint::rig
