Tidy what peers' deltas left: dead parts, a delta made too early, an offset taken back

No kept or pushed record holds a whole configuration any more: size_of's part for it and body_of are gone. A delta is made only for a record that is next, so one that a push brought already costs a reader nothing. fold_record raises the offset after the fold, so fold_delta takes nothing back. waits_for_turn follows from the turn. A read that a daemon is told to make begins without the lateness of the one before (told_read_late), so peers aren't asked at once. Behaviour otherwise unchanged; fold, replica, pipelined-server, send-turns and platform tests pass before and after.

--- a/include/sardinepoint/fold.hpp
+++ b/include/sardinepoint/fold.hpp
@@ -20,9 +20,6 @@
     std::optional<whole_config> whole = {};
 };
 
-/** Body of the record as peers exchange it. */
-std::string body_of(const log_record& record);
-
 enum class fold_kind
 {
     patch_accepted,
--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -334,7 +334,6 @@
     }
     if (delta->base != state.version)
     {
-        --state.next_offset;
         result.kind = fold_kind::out_of_order;
         result.reason = invalid("the delta is to version " + std::to_string(delta->base) +
                                     ", the state has version " + std::to_string(state.version),
@@ -359,6 +358,49 @@
     return result;
 }
 
+/** Folds a record that is next, by the kind that its body names. */
+fold_result fold_body(config_state& state, const log_record& record)
+{
+    fold_result result;
+    const json body = json::parse(record.body, nullptr, false);
+    if (!body.is_object() || !body.contains("kind") || !body["kind"].is_string())
+    {
+        result.reason = invalid("the record is not a JSON object with a string 'kind'",
+                                "publish with the sardinepoint tool only");
+        return result;
+    }
+    const std::string kind = body["kind"].get<std::string>();
+    if (kind == "patch")
+    {
+        return fold_patch(state, record);
+    }
+    if (kind == "outcome")
+    {
+        return fold_outcome(state, body);
+    }
+    if (kind == "whole")
+    {
+        return fold_whole_text(state, record);
+    }
+    if (kind == "delta")
+    {
+        return fold_delta(state, record);
+    }
+    if (kind == "order")
+    {
+        return fold_order(state, record);
+    }
+    if (kind == "foreign")
+    {
+        // Another writer's record, which says nothing about the configuration.
+        result.kind = fold_kind::outcome_ignored;
+        return result;
+    }
+    result.reason = invalid("key 'kind' has the unknown value '" + kind + "'",
+                            "publish with the sardinepoint tool only");
+    return result;
+}
+
 std::string digest_of(std::string_view text)
 {
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
@@ -424,60 +466,18 @@
     return next;
 }
 
-std::string body_of(const log_record& record)
-{
-    return record.whole ? dump_whole_config(*record.whole) : record.body;
-}
-
 fold_result fold_record(config_state& state, const log_record& record)
 {
-    fold_result result;
     if (record.offset != state.next_offset)
     {
-        result.kind = fold_kind::out_of_order;
-        return result;
+        return {.kind = fold_kind::out_of_order};
     }
-    ++state.next_offset;
-    if (record.whole)
+    fold_result result =
+        record.whole ? fold_whole_config(state, *record.whole) : fold_body(state, record);
+    if (result.kind != fold_kind::out_of_order)
     {
-        return fold_whole_config(state, *record.whole);
-    }
-    const json body = json::parse(record.body, nullptr, false);
-    if (!body.is_object() || !body.contains("kind") || !body["kind"].is_string())
-    {
-        result.reason = invalid("the record is not a JSON object with a string 'kind'",
-                                "publish with the sardinepoint tool only");
-        return result;
-    }
-    const std::string kind = body["kind"].get<std::string>();
-    if (kind == "patch")
-    {
-        return fold_patch(state, record);
-    }
-    if (kind == "outcome")
-    {
-        return fold_outcome(state, body);
+        ++state.next_offset;
     }
-    if (kind == "whole")
-    {
-        return fold_whole_text(state, record);
-    }
-    if (kind == "delta")
-    {
-        return fold_delta(state, record);
-    }
-    if (kind == "order")
-    {
-        return fold_order(state, record);
-    }
-    if (kind == "foreign")
-    {
-        // Another writer's record, which says nothing about the configuration.
-        result.kind = fold_kind::outcome_ignored;
-        return result;
-    }
-    result.reason = invalid("key 'kind' has the unknown value '" + kind + "'",
-                            "publish with the sardinepoint tool only");
     return result;
 }
 
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -73,7 +73,6 @@
     std::optional<std::uint64_t> turn;
     /** End of what may be sent before the turn begins. */
     std::size_t free_end = 0;
-    bool waits_for_turn = false;
     /** Nothing more is read; the connection closes when the output is sent. */
     bool ending = false;
     /** The output is sent and the sending side is shut down. */
@@ -213,6 +212,13 @@
     return is_active(server.options.turns->table, *connection.turn) ? end : connection.free_end;
 }
 
+/** Whether nothing may be sent until the turn of the connection's output begins. */
+bool waits_for_turn(const pipelined_server& server, const caller_connection& connection)
+{
+    return connection.turn && connection.sent >= connection.free_end &&
+           !is_active(server.options.turns->table, *connection.turn);
+}
+
 send_state send_output(pipelined_server& server, caller_connection& connection)
 {
     const std::size_t end = sendable_end(server, connection);
@@ -252,7 +258,6 @@
     }
     collect_answers(server, *connection);
     const send_state state = send_output(server, *connection);
-    connection->waits_for_turn = state == send_state::waits;
     if (state == send_state::failed)
     {
         drop_connection(server, id);
@@ -438,8 +443,8 @@
     // A full pipeline stays watched, since a caller that leaves must be noticed; what it sends is
     // bounded by the size of its requests' headers.
     const bool flooded = connection.input.size() > server.options.limits.max_body_bytes;
-    const io_interest interest{.read = !flooded,
-                               .write = !connection.output.empty() && !connection.waits_for_turn};
+    const bool writes = !connection.output.empty() && !waits_for_turn(server, connection);
+    const io_interest interest{.read = !flooded, .write = writes};
     watch_fd(*server.loop, connection.fd, interest,
              [&server, id = connection.id](io_interest ready) { handle_event(server, id, ready); });
 }
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -62,21 +62,13 @@
                {"reason", result.reason.message}});
 }
 
-/** About as many bytes as the record takes in memory. */
-std::size_t size_of(const log_record& record)
-{
-    // A route of the platform's examples: names, host, prefix and the nodes that hold them.
-    constexpr std::size_t route_bytes = 400;
-    return record.body.size() + (record.whole ? record.whole->routes.size() * route_bytes : 0);
-}
-
 void keep_recent(replica& config, const log_record& record)
 {
     config.recent.push_back(record);
-    config.recent_bytes += size_of(record);
+    config.recent_bytes += record.body.size();
     while (config.recent.size() > kept_records || config.recent_bytes > kept_bytes)
     {
-        config.recent_bytes -= size_of(config.recent.front());
+        config.recent_bytes -= config.recent.front().body.size();
         config.recent.pop_front();
     }
 }
@@ -399,6 +391,7 @@
     {
         return;
     }
+    config.told_read_late = false;
     config.next_read = std::max(config.next_read, steady_now() + push_wait_ms);
     run_after(*self.loop, self.config.log_told_pause + told_read_ms,
               [&self, next_offset]
@@ -490,10 +483,6 @@
 /** A peer's delta that is next but to another version: peers have to send the whole state. */
 void note_unusable(replica& config, const log_record& record, const fold_result& result)
 {
-    if (record.offset != config.state.next_offset)
-    {
-        return;
-    }
     config.delta_unusable = true;
     log_event(log_level::info, "delta_unusable",
               {{"offset", record.offset}, {"reason", result.reason.message}});
@@ -506,6 +495,10 @@
     std::size_t folded = 0;
     for (const log_record& record : records)
     {
+        if (record.offset != config.state.next_offset)
+        {
+            continue;
+        }
         const log_record compact = compact_record(config.state, record);
         const fold_result result = fold_record(config.state, record);
         if (result.kind == fold_kind::out_of_order)
@@ -635,7 +628,7 @@
 
 json to_json(const log_record& record)
 {
-    return {{"o", record.offset}, {"t", record.appended}, {"b", body_of(record)}};
+    return {{"o", record.offset}, {"t", record.appended}, {"b", record.body}};
 }
 
 std::vector<log_record> records_from_json(const json& values)
