--- a/src/broadcast.cpp
+++ b/src/broadcast.cpp
@@ -6,6 +6,7 @@
 #include "move_runtime.hpp"
 #include "peer_messages.hpp"
 #include "replica.hpp"
+#include "replica_messages.hpp"
 #include "sync.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/gateways.cpp
+++ b/src/gateways.cpp
@@ -5,6 +5,8 @@
 #include "move_runtime.hpp"
 #include "peer_messages.hpp"
 #include "replica.hpp"
+#include "replica_messages.hpp"
+#include "replica_records.hpp"
 #include "sync.hpp"
 
 #include "sardinepoint/logging.hpp"
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -1,15 +1,10 @@
 #include "replica.hpp"
 
-#include "broadcast.hpp"
-#include "move_runtime.hpp"
-#include "peer_messages.hpp"
-#include "peering.hpp"
+#include "replica_records.hpp"
 #include "sync.hpp"
 
 #include "sardinepoint/logging.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -19,22 +14,14 @@
 namespace
 {
 
-using nlohmann::json;
-
 // The periodic exchange alone would close a gap only after about a second.
 constexpr time_ms repair_interval_ms = 100;
 // Longest time of a read that a daemon was told to make: 0.2 s for 360 KB at 16 Mbit/s, and the
 // same for other traffic. Then peers are asked.
 constexpr time_ms told_read_ms = 400;
-constexpr std::size_t kept_records = 1024;
 // A daemon that was told of a change usually gets it from a peer within this time: pushes of
 // several peers cross, and each passes up to three daemons on its way.
 constexpr time_ms push_wait_ms = 150;
-// Whole configurations are large; a peer that lacks more gets a snapshot.
-constexpr std::size_t kept_bytes = 512U << 10U;
-constexpr std::size_t most_records_per_message = 256;
-// A larger change is read from the log: sent on by each daemon to four others it would fill links.
-constexpr std::size_t most_pushed_bytes = 8U << 10U;
 constexpr int newest_snapshots = 3;
 constexpr time_ms retry_base_ms = 500;
 constexpr time_ms retry_jitter_ms = 500;
@@ -49,76 +36,6 @@
     return std::uniform_int_distribution<time_ms>(0, most)(self.random);
 }
 
-void log_fold(const log_record& record, const fold_result& result, std::uint64_t version,
-              std::string_view source)
-{
-    const bool bad = result.kind == fold_kind::malformed;
-    log_event(bad ? log_level::warning : log_level::info, "record_folded",
-              {{"offset", record.offset},
-               {"result", to_string(result.kind)},
-               {"id", result.id},
-               {"version", version},
-               {"source", source},
-               {"reason", result.reason.message}});
-}
-
-void keep_recent(replica& config, const log_record& record)
-{
-    config.recent.push_back(record);
-    config.recent_bytes += record.body.size();
-    while (config.recent.size() > kept_records || config.recent_bytes > kept_bytes)
-    {
-        config.recent_bytes -= config.recent.front().body.size();
-        config.recent.pop_front();
-    }
-}
-
-void drop_recent(replica& config)
-{
-    config.recent.clear();
-    config.recent_bytes = 0;
-}
-
-/**
- * The record as it is kept for peers and passed on to them. Whole configurations are 30 to 240 KB,
- * what changes is some hundred bytes.
- */
-log_record compact_record(const config_state& before, const log_record& record)
-{
-    if (!record.whole)
-    {
-        return record;
-    }
-    return {.offset = record.offset,
-            .appended = record.appended,
-            .body = dump_delta(make_delta(before, *record.whole))};
-}
-
-/** Whether the record is passed on at once. Orders are read from the log, where all daemons give
-    them the same time. */
-bool is_pushed(const log_record& original, const log_record& compact)
-{
-    return original.whole && compact.body.size() <= most_pushed_bytes;
-}
-
-/** Follows which records the newest whole configuration replaces. */
-void note_superseded(replica& config, const log_record& record, fold_kind kind)
-{
-    switch (kind)
-    {
-    case fold_kind::state_replaced:
-        config.superseded = {
-            .from = config.superseded ? config.superseded->from : record.offset,
-            .newest = record.offset,
-        };
-        break;
-    case fold_kind::outcome_ignored:
-        break;
-    default:
-        config.superseded.reset();
-    }
-}
-
 void note_log_state(node& self, bool reachable, std::string_view reason)
 {
     replica& config = self.config_replica;
@@ -180,17 +97,6 @@
     }
 }
 
-/** Notes which records a newer whole configuration replaces, as a peer tells. */
-void note_told_superseded(replica& config, const json& message)
-{
-    const superseded_records told{.from = counter_in(message, "superseded_from"),
-                                  .newest = counter_in(message, "newest_whole")};
-    if (told.newest > config.told_superseded.newest)
-    {
-        config.told_superseded = told;
-    }
-}
-
 /** Passes over records that a newer whole configuration replaces; no read is in progress. */
 void skip_superseded(replica& config)
 {
@@ -465,100 +371,6 @@
     }
 }
 
-/** Whether every daemon of the domain reads the log: then none waits for another's records. */
-bool all_read(const node& self)
-{
-    return std::cmp_less_equal(live_ids(self.members, self.config.domain).size(),
-                               self.config.log_readers);
-}
-
-/** Whether this daemon tells the others of records from the source. */
-bool spreads_records(const node& self, std::string_view source)
-{
-    // Daemons that got the records from a peer have nothing to broadcast, nor have those that read
-    // them when they were told.
-    return source == "log" && (self.config.log_push_records || is_fetcher(self)) && !all_read(self);
-}
-
-/** A peer's delta that is next but to another version: peers have to send the whole state. */
-void note_unusable(replica& config, const log_record& record, const fold_result& result)
-{
-    config.delta_unusable = true;
-    log_event(log_level::info, "delta_unusable",
-              {{"offset", record.offset}, {"reason", result.reason.message}});
-}
-
-std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
-{
-    replica& config = self.config_replica;
-    const bool spread = spreads_records(self, source);
-    std::size_t folded = 0;
-    for (const log_record& record : records)
-    {
-        if (record.offset != config.state.next_offset)
-        {
-            continue;
-        }
-        const log_record compact = compact_record(config.state, record);
-        const fold_result result = fold_record(config.state, record);
-        if (result.kind == fold_kind::out_of_order)
-        {
-            note_unusable(config, record, result);
-            continue;
-        }
-        ++folded;
-        count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
-        log_fold(record, result, config.state.version, source);
-        keep_recent(config, compact);
-        note_superseded(config, record, result.kind);
-        config.delta_unusable = false;
-        if (spread && (self.config.log_push_records || is_pushed(record, compact)))
-        {
-            self.pending.records.push_back(compact);
-        }
-    }
-    if (folded == 0)
-    {
-        return 0;
-    }
-    config_changed(self);
-    check_ready(self);
-    if (spread)
-    {
-        self.pending.freshness = self.pending.freshness || !self.config.log_push_records;
-        schedule_flush(self);
-    }
-    return folded;
-}
-
-bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source)
-{
-    replica& config = self.config_replica;
-    error reason;
-    auto state = restore_snapshot(snapshot, reason);
-    if (!state)
-    {
-        log_event(log_level::warning, "snapshot_rejected",
-                  {{"source", source}, {"reason", describe(reason)}});
-        return false;
-    }
-    if (state->next_offset <= config.state.next_offset || state->version < config.state.version)
-    {
-        return false;
-    }
-    config.state = std::move(*state);
-    config.superseded.reset();
-    config.delta_unusable = false;
-    drop_recent(config);
-    log_event(log_level::info, "snapshot_adopted",
-              {{"source", source},
-               {"next_offset", config.state.next_offset},
-               {"version", config.state.version}});
-    config_changed(self);
-    check_ready(self);
-    return true;
-}
-
 void note_peer_offset(node& self, std::uint64_t next_offset)
 {
     replica& config = self.config_replica;
@@ -583,18 +395,6 @@
     }
 }
 
-void spread_records_since(node& self, std::uint64_t from)
-{
-    for (const log_record& record : self.config_replica.recent)
-    {
-        if (record.offset >= from)
-        {
-            self.pending.records.push_back(record);
-        }
-    }
-    schedule_flush(self);
-}
-
 void check_ready(node& self)
 {
     replica& config = self.config_replica;
@@ -626,99 +426,4 @@
     publish_self_record(self);
 }
 
-json to_json(const log_record& record)
-{
-    return {{"o", record.offset}, {"t", record.appended}, {"b", record.body}};
-}
-
-std::vector<log_record> records_from_json(const json& values)
-{
-    std::vector<log_record> records;
-    if (!values.is_array())
-    {
-        return records;
-    }
-    for (const json& value : values)
-    {
-        const bool valid = value.is_object() && value.contains("o") &&
-                           value["o"].is_number_unsigned() && value.contains("t") &&
-                           value["t"].is_number_integer() && value.contains("b") &&
-                           value["b"].is_string();
-        if (!valid)
-        {
-            return {};
-        }
-        records.push_back({.offset = value["o"].get<std::uint64_t>(),
-                           .appended = value["t"].get<time_ms>(),
-                           .body = value["b"].get<std::string>()});
-    }
-    return records;
-}
-
-json freshness_message(const node& self)
-{
-    if (!self.config_replica.ready)
-    {
-        // An incomplete state must not become the target of a daemon that starts.
-        return json::object();
-    }
-    const replica& config = self.config_replica;
-    json message{{"next", config.state.next_offset}, {"age", freshness_age(self)}};
-    if (config.superseded)
-    {
-        message["superseded_from"] = config.superseded->from;
-        message["newest_whole"] = config.superseded->newest;
-    }
-    return message;
-}
-
-json records_since(const node& self, std::uint64_t from, bool whole)
-{
-    const replica& config = self.config_replica;
-    json message = freshness_message(self);
-    if (!config.ready || from >= config.state.next_offset)
-    {
-        return message;
-    }
-    if (whole || config.recent.empty() || from < config.recent.front().offset)
-    {
-        message["snapshot"] = make_snapshot(config.state);
-        return message;
-    }
-    json records = json::array();
-    for (const log_record& record : config.recent)
-    {
-        if (record.offset >= from && records.size() < most_records_per_message)
-        {
-            records.push_back(to_json(record));
-        }
-    }
-    message["records"] = std::move(records);
-    return message;
-}
-
-void apply_records_message(node& self, const json& message, std::string_view source)
-{
-    note_told_superseded(self.config_replica, message);
-    if (message.contains("snapshot") && message["snapshot"].is_string())
-    {
-        adopt_snapshot(self, message["snapshot"].get_ref<const std::string&>(), source);
-    }
-    if (message.contains("records"))
-    {
-        apply_records(self, records_from_json(message["records"]), source);
-    }
-    const bool has_next = message.contains("next") && message["next"].is_number_unsigned();
-    const bool has_age = message.contains("age") && message["age"].is_number_integer();
-    if (has_next)
-    {
-        note_peer_offset(self, message["next"].get<std::uint64_t>());
-        check_ready(self);
-    }
-    if (has_next && has_age)
-    {
-        note_freshness(self, message["next"].get<std::uint64_t>(), message["age"].get<time_ms>());
-    }
-}
-
 } // namespace sardinepoint
--- a/src/replica.hpp
+++ b/src/replica.hpp
@@ -2,10 +2,7 @@
 
 #include "node.hpp"
 
-#include <nlohmann/json_fwd.hpp>
-
 #include <cstdint>
-#include <span>
 
 namespace sardinepoint
 {
@@ -31,21 +28,12 @@
 /** Reads the log once now, also while a long poll is in progress. */
 void read_beside_poll(node& self);
 
-/** Folds records that are next in order; others are ignored. Returns how many were folded. */
-std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source);
-
-/** Replaces the state by a snapshot that is newer; older ones are ignored. */
-bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source);
-
 /** Notes that a ready peer holds the configuration up to this offset. */
 void note_peer_offset(node& self, std::uint64_t next_offset);
 
 /** Notes that some daemon has served this offset, which doesn't prove that no newer one exists. */
 void note_served_offset(node& self, std::uint64_t next_offset);
 
-/** Queues the records folded since this offset for the broadcast tree. */
-void spread_records_since(node& self, std::uint64_t from);
-
 /** Becomes ready if the target offset is reached. */
 void check_ready(node& self);
 
@@ -58,19 +46,4 @@
 /** Takes over a peer's freshness if the own state is at least as new. */
 void note_freshness(node& self, std::uint64_t peer_next_offset, time_ms age);
 
-/** How far this daemon got and how long ago that was known to be all; empty if it isn't ready. */
-nlohmann::json freshness_message(const node& self);
-
-/**
- * The freshness and what a peer that has folded up to `from` lacks: records, or a snapshot if it is
- * too far back or asks for the whole state.
- */
-nlohmann::json records_since(const node& self, std::uint64_t from, bool whole = false);
-
-/** Applies the answer of records_since. */
-void apply_records_message(node& self, const nlohmann::json& message, std::string_view source);
-
-nlohmann::json to_json(const log_record& record);
-std::vector<log_record> records_from_json(const nlohmann::json& values);
-
 } // namespace sardinepoint
--- /dev/null
+++ b/src/replica_messages.cpp
@@ -0,0 +1,130 @@
+#include "replica_messages.hpp"
+
+#include "peer_messages.hpp"
+#include "replica.hpp"
+#include "replica_records.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t most_records_per_message = 256;
+
+/** Notes which records a newer whole configuration replaces, as a peer tells. */
+void note_told_superseded(replica& config, const json& message)
+{
+    const superseded_records told{.from = counter_in(message, "superseded_from"),
+                                  .newest = counter_in(message, "newest_whole")};
+    if (told.newest > config.told_superseded.newest)
+    {
+        config.told_superseded = told;
+    }
+}
+
+} // namespace
+
+json to_json(const log_record& record)
+{
+    return {{"o", record.offset}, {"t", record.appended}, {"b", record.body}};
+}
+
+std::vector<log_record> records_from_json(const json& values)
+{
+    std::vector<log_record> records;
+    if (!values.is_array())
+    {
+        return records;
+    }
+    for (const json& value : values)
+    {
+        const bool valid = value.is_object() && value.contains("o") &&
+                           value["o"].is_number_unsigned() && value.contains("t") &&
+                           value["t"].is_number_integer() && value.contains("b") &&
+                           value["b"].is_string();
+        if (!valid)
+        {
+            return {};
+        }
+        records.push_back({.offset = value["o"].get<std::uint64_t>(),
+                           .appended = value["t"].get<time_ms>(),
+                           .body = value["b"].get<std::string>()});
+    }
+    return records;
+}
+
+json freshness_message(const node& self)
+{
+    if (!self.config_replica.ready)
+    {
+        // An incomplete state must not become the target of a daemon that starts.
+        return json::object();
+    }
+    const replica& config = self.config_replica;
+    json message{{"next", config.state.next_offset}, {"age", freshness_age(self)}};
+    if (config.superseded)
+    {
+        message["superseded_from"] = config.superseded->from;
+        message["newest_whole"] = config.superseded->newest;
+    }
+    return message;
+}
+
+json records_since(const node& self, std::uint64_t from, bool whole)
+{
+    const replica& config = self.config_replica;
+    json message = freshness_message(self);
+    if (!config.ready || from >= config.state.next_offset)
+    {
+        return message;
+    }
+    if (whole || config.recent.empty() || from < config.recent.front().offset)
+    {
+        message["snapshot"] = make_snapshot(config.state);
+        return message;
+    }
+    json records = json::array();
+    for (const log_record& record : config.recent)
+    {
+        if (record.offset >= from && records.size() < most_records_per_message)
+        {
+            records.push_back(to_json(record));
+        }
+    }
+    message["records"] = std::move(records);
+    return message;
+}
+
+void apply_records_message(node& self, const json& message, std::string_view source)
+{
+    note_told_superseded(self.config_replica, message);
+    if (message.contains("snapshot") && message["snapshot"].is_string())
+    {
+        adopt_snapshot(self, message["snapshot"].get_ref<const std::string&>(), source);
+    }
+    if (message.contains("records"))
+    {
+        apply_records(self, records_from_json(message["records"]), source);
+    }
+    const bool has_next = message.contains("next") && message["next"].is_number_unsigned();
+    const bool has_age = message.contains("age") && message["age"].is_number_integer();
+    if (has_next)
+    {
+        note_peer_offset(self, message["next"].get<std::uint64_t>());
+        check_ready(self);
+    }
+    if (has_next && has_age)
+    {
+        note_freshness(self, message["next"].get<std::uint64_t>(), message["age"].get<time_ms>());
+    }
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/replica_records.cpp
@@ -0,0 +1,201 @@
+#include "replica_records.hpp"
+
+#include "broadcast.hpp"
+#include "move_runtime.hpp"
+#include "replica.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+constexpr std::size_t kept_records = 1024;
+// Whole configurations are large; a peer that lacks more gets a snapshot.
+constexpr std::size_t kept_bytes = 512U << 10U;
+// A larger change is read from the log: sent on by each daemon to four others it would fill links.
+constexpr std::size_t most_pushed_bytes = 8U << 10U;
+
+void log_fold(const log_record& record, const fold_result& result, std::uint64_t version,
+              std::string_view source)
+{
+    const bool bad = result.kind == fold_kind::malformed;
+    log_event(bad ? log_level::warning : log_level::info, "record_folded",
+              {{"offset", record.offset},
+               {"result", to_string(result.kind)},
+               {"id", result.id},
+               {"version", version},
+               {"source", source},
+               {"reason", result.reason.message}});
+}
+
+void keep_recent(replica& config, const log_record& record)
+{
+    config.recent.push_back(record);
+    config.recent_bytes += record.body.size();
+    while (config.recent.size() > kept_records || config.recent_bytes > kept_bytes)
+    {
+        config.recent_bytes -= config.recent.front().body.size();
+        config.recent.pop_front();
+    }
+}
+
+/**
+ * The record as it is kept for peers and passed on to them. Whole configurations are 30 to 240 KB,
+ * what changes is some hundred bytes.
+ */
+log_record compact_record(const config_state& before, const log_record& record)
+{
+    if (!record.whole)
+    {
+        return record;
+    }
+    return {.offset = record.offset,
+            .appended = record.appended,
+            .body = dump_delta(make_delta(before, *record.whole))};
+}
+
+/** Whether the record is passed on at once. Orders are read from the log, where all daemons give
+    them the same time. */
+bool is_pushed(const log_record& original, const log_record& compact)
+{
+    return original.whole && compact.body.size() <= most_pushed_bytes;
+}
+
+/** Follows which records the newest whole configuration replaces. */
+void note_superseded(replica& config, const log_record& record, fold_kind kind)
+{
+    switch (kind)
+    {
+    case fold_kind::state_replaced:
+        config.superseded = {
+            .from = config.superseded ? config.superseded->from : record.offset,
+            .newest = record.offset,
+        };
+        break;
+    case fold_kind::outcome_ignored:
+        break;
+    default:
+        config.superseded.reset();
+    }
+}
+
+/** Whether every daemon of the domain reads the log: then none waits for another's records. */
+bool all_read(const node& self)
+{
+    return std::cmp_less_equal(live_ids(self.members, self.config.domain).size(),
+                               self.config.log_readers);
+}
+
+/** Whether this daemon tells the others of records from the source. */
+bool spreads_records(const node& self, std::string_view source)
+{
+    // Daemons that got the records from a peer have nothing to broadcast, nor have those that read
+    // them when they were told.
+    return source == "log" && (self.config.log_push_records || is_fetcher(self)) && !all_read(self);
+}
+
+/** A peer's delta that is next but to another version: peers have to send the whole state. */
+void note_unusable(replica& config, const log_record& record, const fold_result& result)
+{
+    config.delta_unusable = true;
+    log_event(log_level::info, "delta_unusable",
+              {{"offset", record.offset}, {"reason", result.reason.message}});
+}
+
+} // namespace
+
+void drop_recent(replica& config)
+{
+    config.recent.clear();
+    config.recent_bytes = 0;
+}
+
+std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
+{
+    replica& config = self.config_replica;
+    const bool spread = spreads_records(self, source);
+    std::size_t folded = 0;
+    for (const log_record& record : records)
+    {
+        if (record.offset != config.state.next_offset)
+        {
+            continue;
+        }
+        const log_record compact = compact_record(config.state, record);
+        const fold_result result = fold_record(config.state, record);
+        if (result.kind == fold_kind::out_of_order)
+        {
+            note_unusable(config, record, result);
+            continue;
+        }
+        ++folded;
+        count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
+        log_fold(record, result, config.state.version, source);
+        keep_recent(config, compact);
+        note_superseded(config, record, result.kind);
+        config.delta_unusable = false;
+        if (spread && (self.config.log_push_records || is_pushed(record, compact)))
+        {
+            self.pending.records.push_back(compact);
+        }
+    }
+    if (folded == 0)
+    {
+        return 0;
+    }
+    config_changed(self);
+    check_ready(self);
+    if (spread)
+    {
+        self.pending.freshness = self.pending.freshness || !self.config.log_push_records;
+        schedule_flush(self);
+    }
+    return folded;
+}
+
+bool adopt_snapshot(node& self, std::string_view snapshot, std::string_view source)
+{
+    replica& config = self.config_replica;
+    error reason;
+    auto state = restore_snapshot(snapshot, reason);
+    if (!state)
+    {
+        log_event(log_level::warning, "snapshot_rejected",
+                  {{"source", source}, {"reason", describe(reason)}});
+        return false;
+    }
+    if (state->next_offset <= config.state.next_offset || state->version < config.state.version)
+    {
+        return false;
+    }
+    config.state = std::move(*state);
+    config.superseded.reset();
+    config.delta_unusable = false;
+    drop_recent(config);
+    log_event(log_level::info, "snapshot_adopted",
+              {{"source", source},
+               {"next_offset", config.state.next_offset},
+               {"version", config.state.version}});
+    config_changed(self);
+    check_ready(self);
+    return true;
+}
+
+void spread_records_since(node& self, std::uint64_t from)
+{
+    for (const log_record& record : self.config_replica.recent)
+    {
+        if (record.offset >= from)
+        {
+            self.pending.records.push_back(record);
+        }
+    }
+    schedule_flush(self);
+}
+
+} // namespace sardinepoint
--- a/src/sync.cpp
+++ b/src/sync.cpp
@@ -7,6 +7,7 @@
 #include "move_runtime.hpp"
 #include "peer_messages.hpp"
 #include "replica.hpp"
+#include "replica_messages.hpp"
 
 #include <nlohmann/json.hpp>
 
