--- a/support/rig/relay.cpp
+++ b/support/rig/relay.cpp
@@ -246,7 +246,10 @@
 
 int add_forward(relay& self, const endpoint& target, std::string name)
 {
-    name = name.empty() ? target.address : std::move(name);
+    if (name.empty())
+    {
+        name = target.address;
+    }
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in address = make_address({target.address, 0});
     socklen_t length = sizeof address;
