Handle SIGHUP and SIGTERM from the first moment of a start

Cause: the daemon printed its ports, and loaded its configuration, before the handlers were in place; the system's own answer to these signals is the end of the process. Now they come right after the event loop, which calls back only when it runs. Test signals_during_the_start_are_handled: failed before (-1 instead of 0), passes after.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -263,6 +263,9 @@
     node self;
     self.config = config;
     self.loop = loop.get();
+    // First of all: without a handler these signals end the process. The loop calls back later.
+    on_terminate(*loop, [&self] { begin_shutdown(self); });
+    on_reload(*loop, [&] { reload_settings(settings_file, config); });
     error reason;
     if (registry<platform_adapter>::find(config.platform) == nullptr)
     {
@@ -292,8 +295,6 @@
     start_peering(self);
     start_moves(self);
     start_timers(self);
-    on_terminate(*loop, [&self] { begin_shutdown(self); });
-    on_reload(*loop, [&] { reload_settings(settings_file, config); });
     collect_logs();
     run_every(*loop, log_flush_ms, [] { flush_logs(); });
     run(*loop);
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -203,6 +203,28 @@
     BOOST_TEST(lost >= rounds);
 }
 
+// Guards against daemons that end at a signal which comes while they start: the system's own answer
+// to SIGHUP and SIGTERM is their end.
+BOOST_AUTO_TEST_CASE(signals_during_the_start_are_handled)
+{
+    constexpr int rounds = 10;
+    rig::fleet fleet(SARDINEPOINT_BIN_DIR, "sidecar-signals");
+    fleet.publish(1, {"board"});
+    rig::fleet_daemon& daemon = fleet.add("board");
+    for (int round = 0; round < rounds; ++round)
+    {
+        daemon.run->signal(SIGHUP);
+        fleet.run_for(100);
+        BOOST_TEST(daemon.run->running());
+        daemon.run->signal(SIGTERM);
+        BOOST_TEST(daemon.run->wait() == 0);
+        fleet.start(daemon);
+        daemon.run->signal(SIGTERM);
+        BOOST_TEST(daemon.run->wait() == 0);
+        fleet.start(daemon);
+    }
+}
+
 // Guards against upstreams that work on for callers that have left: the cancellation has to cross
 // both daemons within half a second.
 BOOST_FIXTURE_TEST_CASE(cancellation_reaches_the_upstream, three_boards)
