Serve messages between daemons and timers amid a backlog of calls

Callers of the grown Virumaa got 404 for routes that had been added more than 2.5 s before, and calls were run by older versions (CONFIG).

Cause: the event loop served descriptors as they became ready, and timers after each batch of 64. In a daemon without processor time to spare each step of a message (accept, read, answer, a piece of 16 KB of a read, each hop of the broadcast) waited for a round of the backlog of calls, so how late a configuration comes into force had no bound under load.

Now descriptors have a priority. Those of control (peers, store, announcements, readiness) are in an epoll set of their own, which is served, with the timers that are due, whenever callbacks have run for 5 ms, and the listener takes the steps of a request at once.

Test: event-loop-test/urgent_descriptors_and_timers_are_served_amid_a_backlog failed before: 154 calls ran before the urgent descriptor and 54 before the timer, 1 and 2 are allowed.

--- a/include/sardinepoint/event_loop.hpp
+++ b/include/sardinepoint/event_loop.hpp
@@ -32,6 +32,17 @@
     bool write = false;
 };
 
+/** Order in which ready descriptors are served. */
+enum class io_priority
+{
+    normal,
+    /**
+     * Served, like timers that are due, between two callbacks of normal descriptors once these have
+     * run for 5 ms. For messages that must not wait behind a backlog of calls.
+     */
+    urgent,
+};
+
 using io_callback = std::function<void(io_interest ready)>;
 
 event_loop_ptr make_event_loop();
@@ -55,7 +66,8 @@
 void cancel_timer(event_loop& loop, timer_id id);
 
 /** Watches a file descriptor, replacing an earlier watch on it. */
-void watch_fd(event_loop& loop, int fd, io_interest interest, io_callback callback);
+void watch_fd(event_loop& loop, int fd, io_interest interest, io_callback callback,
+              io_priority priority = io_priority::normal);
 
 /** Stops watching a file descriptor. */
 void unwatch_fd(event_loop& loop, int fd);
--- a/include/sardinepoint/http_client.hpp
+++ b/include/sardinepoint/http_client.hpp
@@ -71,6 +71,7 @@
     std::size_t max_body_bytes = 16U << 20U;
     /** Address that connections come from; empty lets the system choose. */
     std::string local_address;
+    io_priority priority = io_priority::normal;
 };
 
 http_client_ptr open_http_client(event_loop& loop, const http_client_options& options);
--- a/include/sardinepoint/http_server.hpp
+++ b/include/sardinepoint/http_server.hpp
@@ -33,6 +33,7 @@
     std::size_t max_body_bytes = 16U << 20U;
     unsigned max_connections = 1000;
     unsigned idle_timeout_s = 60;
+    io_priority priority = io_priority::normal;
 };
 
 /** Callbacks of a server. Each request is answered once with send_reply, at any later time. */
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -62,12 +62,15 @@
 
 bool open_servers(node& self, error& reason)
 {
-    self.control_server = open_http_server(
-        *self.loop, {.address = self.config.address, .port = self.config.control_port},
-        {.on_request = [&self](request_id id, const http_request& request)
-         { handle_control_request(self, id, request); },
-         .on_cancelled = {}},
-        reason);
+    self.control_server =
+        open_http_server(*self.loop,
+                         {.address = self.config.address,
+                          .port = self.config.control_port,
+                          .priority = io_priority::urgent},
+                         {.on_request = [&self](request_id id, const http_request& request)
+                          { handle_control_request(self, id, request); },
+                          .on_cancelled = {}},
+                         reason);
     if (!self.control_server)
     {
         return false;
@@ -100,9 +103,10 @@
                    to_string(endpoint{self.config.address, self.config.advertised_data_port});
     self.keys.incarnation = self.incarnation;
     self.balancing.policy = self.config.balancing;
-    const http_client_options client_options{.max_connections = most_peer_connections,
-                                             .local_address = self.config.address};
+    http_client_options client_options{.max_connections = most_peer_connections,
+                                       .local_address = self.config.address};
     self.data_client = open_http_client(*self.loop, client_options);
+    client_options.priority = io_priority::urgent;
     self.control_client = open_http_client(*self.loop, client_options);
     self.upstream_pool = open_connection_pool(*self.loop);
     self.log = {.http = self.control_client.get(),
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -30,6 +30,9 @@
 
 constexpr int most_events = 64;
 
+// Longest time without a look at urgent descriptors and timers, but for one callback.
+constexpr std::int64_t urgent_interval_us = 5000;
+
 ACE_Time_Value to_time_value(time_ms duration)
 {
     constexpr time_ms ms_per_second = 1000;
@@ -58,6 +61,7 @@
     std::uint32_t events = 0;
     /** Raised by each new watch, so that an event of an earlier one isn't taken for it. */
     std::uint32_t generation = 0;
+    io_priority priority = io_priority::normal;
 };
 
 class timer_handler : public ACE_Event_Handler
@@ -98,9 +102,10 @@
 class event_loop
 {
 public:
-    event_loop() : epoll(::epoll_create1(EPOLL_CLOEXEC))
+    event_loop()
+        : epoll(::epoll_create1(EPOLL_CLOEXEC)), urgent_epoll(::epoll_create1(EPOLL_CLOEXEC))
     {
-        if (this->epoll < 0)
+        if (this->epoll < 0 || this->urgent_epoll < 0)
         {
             throw std::runtime_error("can't open an epoll descriptor");
         }
@@ -110,6 +115,9 @@
     // ACE's epoll reactor arms each descriptor again after each event, which doubled the system
     // calls of a request, so only timers and signals are ACE's.
     int epoll;
+    /** Holds the urgent descriptors; watched by the other one itself. */
+    int urgent_epoll;
+    std::int64_t urgent_served_us = 0;
     ACE_Timer_Heap timer_queue;
     ACE_Sig_Handler signals;
     std::unordered_map<std::uint64_t, timer_entry> timers;
@@ -174,19 +182,41 @@
                  .write = (event.events & EPOLLOUT) != 0 || (failed && !watches_read)});
 }
 
+void serve_urgent(event_loop& loop)
+{
+    std::array<epoll_event, most_events> events{};
+    const int count = ::epoll_wait(loop.urgent_epoll, events.data(), most_events, 0);
+    for (int i = 0; i < count && !loop.stopped; ++i)
+    {
+        dispatch(loop, events.at(static_cast<std::size_t>(i)));
+    }
+    loop.urgent_served_us = steady_now_us();
+}
+
 /** Waits for events and serves them; returns when the wait ended. */
 std::int64_t poll_descriptors(event_loop& loop, time_ms wait)
 {
     std::array<epoll_event, most_events> events{};
     const int count = ::epoll_wait(loop.epoll, events.data(), most_events, static_cast<int>(wait));
     const std::int64_t woken_us = steady_now_us();
+    loop.urgent_served_us = woken_us;
     for (int i = 0; i < count && !loop.stopped; ++i)
     {
         dispatch(loop, events.at(static_cast<std::size_t>(i)));
+        if (steady_now_us() - loop.urgent_served_us >= urgent_interval_us && !loop.stopped)
+        {
+            serve_urgent(loop);
+            loop.timer_queue.expire();
+        }
     }
     return woken_us;
 }
 
+int epoll_of(const event_loop& loop, io_priority priority)
+{
+    return priority == io_priority::urgent ? loop.urgent_epoll : loop.epoll;
+}
+
 } // namespace
 
 void event_loop_deleter::operator()(event_loop* loop) const
@@ -195,13 +225,17 @@
     {
         loop->timer_queue.cancel(entry.queue_id);
     }
+    ::close(loop->urgent_epoll);
     ::close(loop->epoll);
     delete loop;
 }
 
 event_loop_ptr make_event_loop()
 {
-    return event_loop_ptr(new event_loop);
+    event_loop_ptr loop(new event_loop);
+    watch_fd(*loop, loop->urgent_epoll, {.read = true},
+             [raw = loop.get()](io_interest) { serve_urgent(*raw); });
+    return loop;
 }
 
 void stop(event_loop& loop)
@@ -288,9 +322,15 @@
     loop.retired.push_back(std::move(entry.mapped().handler));
 }
 
-void watch_fd(event_loop& loop, int fd, io_interest interest, io_callback callback)
+void watch_fd(event_loop& loop, int fd, io_interest interest, io_callback callback,
+              io_priority priority)
 {
     io_watch& watch = loop.watches[fd];
+    if (watch.priority != priority)
+    {
+        // The number was closed without notice and is used for something else now.
+        unwatch_fd(loop, fd);
+    }
     const bool known = watch.callback != nullptr;
     const std::uint32_t events = to_events(interest);
     watch.callback = std::make_shared<const io_callback>(std::move(callback));
@@ -299,13 +339,15 @@
         return;
     }
     watch.events = events;
+    watch.priority = priority;
     watch.generation += known ? 0 : 1;
+    const int epoll = epoll_of(loop, priority);
     epoll_event event{.events = events, .data = {.u64 = event_data(fd, watch.generation)}};
-    const int failed = ::epoll_ctl(loop.epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
+    const int failed = ::epoll_ctl(epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
     if (failed != 0 && known)
     {
         // The kernel drops a descriptor that was closed while it was watched.
-        ::epoll_ctl(loop.epoll, EPOLL_CTL_ADD, fd, &event);
+        ::epoll_ctl(epoll, EPOLL_CTL_ADD, fd, &event);
     }
 }
 
@@ -318,7 +360,7 @@
     }
     found->second.callback.reset();
     // Fails without an effect if the descriptor is closed already.
-    ::epoll_ctl(loop.epoll, EPOLL_CTL_DEL, fd, nullptr);
+    ::epoll_ctl(epoll_of(loop, found->second.priority), EPOLL_CTL_DEL, fd, nullptr);
 }
 
 wait_limit_id add_wait_limit(event_loop& loop, std::function<time_ms()> limit)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -212,9 +212,11 @@
     }
     const io_interest interest{.read = (action & CURL_POLL_IN) != 0,
                                .write = (action & CURL_POLL_OUT) != 0};
-    watch_fd(*client.loop, socket, interest,
-             [&client, socket](io_interest ready)
-             { drive(client, socket, ready.read ? CURL_CSELECT_IN : CURL_CSELECT_OUT); });
+    watch_fd(
+        *client.loop, socket, interest,
+        [&client, socket](io_interest ready)
+        { drive(client, socket, ready.read ? CURL_CSELECT_IN : CURL_CSELECT_OUT); },
+        client.options.priority);
     return 0;
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -249,6 +249,21 @@
     }
 }
 
+/** A request takes several steps: its connection is accepted, it is read, and it is answered. */
+void run_steps(http_server& server)
+{
+    constexpr int most_steps = 4;
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    for (int i = 0; i < most_steps && timeout == 0; ++i)
+    {
+        MHD_run(server.daemon);
+        if (MHD_get_timeout(server.daemon, &timeout) != MHD_YES)
+        {
+            return;
+        }
+    }
+}
+
 time_ms server_wait_limit(http_server& server)
 {
     // A resumed connection has work that no epoll event announces, and MHD_get_timeout doesn't
@@ -317,8 +332,9 @@
     }
     server->epoll_fd = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     http_server* raw = server.get();
-    watch_fd(loop, raw->epoll_fd, {.read = true, .write = false},
-             [raw](io_interest) { MHD_run(raw->daemon); });
+    watch_fd(
+        loop, raw->epoll_fd, {.read = true, .write = false},
+        [raw](io_interest) { run_steps(*raw); }, options.priority);
     raw->wait_limit = add_wait_limit(loop, [raw] { return server_wait_limit(*raw); });
     if (raw->callbacks.on_cancelled)
     {
--- a/test/event-loop-test.cpp
+++ b/test/event-loop-test.cpp
@@ -6,6 +6,9 @@
 #include "sardinepoint/event_loop.hpp"
 
 #include <array>
+#include <chrono>
+#include <thread>
+#include <vector>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -105,3 +108,49 @@
     unwatch_fd(*loop, pair.ends[0]);
     pair.close_both();
 }
+
+// Guards against messages between daemons that wait behind a backlog of calls: the configuration
+// came into force late without a bound.
+BOOST_AUTO_TEST_CASE(urgent_descriptors_and_timers_are_served_amid_a_backlog)
+{
+    const event_loop_ptr loop = make_event_loop();
+    constexpr std::size_t backlog = 100;
+    constexpr int ready_at_call = 10;
+    // Longer than the time after which urgent descriptors are looked at.
+    constexpr std::chrono::milliseconds call_time{6};
+    std::vector<socket_pair> pairs(backlog);
+    const socket_pair urgent;
+    int calls = 0;
+    int calls_before_urgent = 0;
+    int calls_before_timer = 0;
+    for (const socket_pair& pair : pairs)
+    {
+        pair.send_byte();
+        watch_fd(*loop, pair.ends[0], {.read = true},
+                 [&](io_interest)
+                 {
+                     std::this_thread::sleep_for(call_time);
+                     if (++calls == ready_at_call)
+                     {
+                         urgent.send_byte();
+                         run_after(*loop, 0, [&] { calls_before_timer = calls - ready_at_call; });
+                     }
+                 });
+    }
+    watch_fd(
+        *loop, urgent.ends[0], {.read = true},
+        [&](io_interest)
+        {
+            calls_before_urgent = calls - ready_at_call;
+            stop(*loop);
+        },
+        io_priority::urgent);
+    run(*loop);
+    BOOST_TEST(calls_before_urgent <= 1);
+    BOOST_TEST(calls_before_timer <= 2);
+    for (socket_pair& pair : pairs)
+    {
+        unwatch_fd(*loop, pair.ends[0]);
+        pair.close_both();
+    }
+}
