Keep changes that peers push before the one they follow

Callers got 404 for added routes at daemons beside upstreams of large answers, up to 2.5 s after the other daemons had the change, and for as long as changes followed each other.

Cause: a change that a daemon can't fold yet was thrown away. A daemon that reads a large configuration (120 to 240 KB, 1 to 2 s on a busy link) lost all small changes in that time; it then read a whole configuration for each of them, and lost the next ones meanwhile. It came up to date only when changes paused.

Now such records wait by offset, 256 KB at most, and are folded as soon as the state reaches them; a delta to another version is dropped there.

Test: replica-records-test/changes_that_come_before_one_that_is_read_are_kept failed before (version 2 of 5 after the read).

--- a/src/node.hpp
+++ b/src/node.hpp
@@ -38,6 +38,13 @@
     std::uint64_t newest = 0;
 };
 
+/** A record of a peer that comes after one that is missing. */
+struct early_record
+{
+    log_record record;
+    std::string source;
+};
+
 /** The folded configuration of this daemon and how it is kept current. */
 struct replica
 {
@@ -45,6 +52,9 @@
     /** Newest records, kept for peers that lag. */
     std::deque<log_record> recent;
     std::size_t recent_bytes = 0;
+    /** By offset; folded as soon as the state reaches it. */
+    std::map<std::uint64_t, early_record> early;
+    std::size_t early_bytes = 0;
     bool ready = false;
     std::string not_ready_reason = "the configuration isn't loaded yet";
     /** Next offset that must be reached before the daemon is ready. */
--- a/src/replica_records.cpp
+++ b/src/replica_records.cpp
@@ -7,6 +7,7 @@
 #include "sardinepoint/logging.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace sardinepoint
@@ -19,6 +20,8 @@
 constexpr std::size_t kept_records = 1024;
 // Whole configurations are large; a peer that lacks more gets a snapshot.
 constexpr std::size_t kept_bytes = 512U << 10U;
+// Some seconds of small changes; the rest is read again.
+constexpr std::size_t most_early_bytes = 256U << 10U;
 // A larger change is read from the log: sent on by each daemon to four others it would fill links.
 constexpr std::size_t most_pushed_bytes = 8U << 10U;
 
@@ -103,6 +106,35 @@
     return source == "log" && (self.config.log_push_records || is_fetcher(self)) && !all_read(self);
 }
 
+/** Keeps a peer's record for the time when what comes before it is folded. */
+void keep_early(replica& config, const log_record& record, std::string_view source)
+{
+    if (record.whole || config.early_bytes + record.body.size() > most_early_bytes)
+    {
+        return;
+    }
+    const auto [kept, added] =
+        config.early.try_emplace(record.offset, early_record{record, std::string(source)});
+    config.early_bytes += added ? kept->second.record.body.size() : 0;
+}
+
+/** Takes out the record at the offset, and forgets those before it. */
+std::optional<early_record> take_early(replica& config, std::uint64_t offset)
+{
+    std::optional<early_record> next;
+    while (!config.early.empty() && config.early.begin()->first <= offset)
+    {
+        early_record& first = config.early.begin()->second;
+        config.early_bytes -= first.record.body.size();
+        if (first.record.offset == offset)
+        {
+            next = std::move(first);
+        }
+        config.early.erase(config.early.begin());
+    }
+    return next;
+}
+
 /** A peer's delta that is next but to another version: peers have to send the whole state. */
 void note_unusable(replica& config, const log_record& record, const fold_result& result)
 {
@@ -119,6 +151,52 @@
     config.recent_bytes = 0;
 }
 
+namespace
+{
+
+/** Folds the record that is next; false if it doesn't apply to this state. */
+bool fold_next(node& self, const log_record& record, std::string_view source, bool spread)
+{
+    replica& config = self.config_replica;
+    const log_record compact = compact_record(config.state, record);
+    const fold_result result = fold_record(config.state, record);
+    if (result.kind == fold_kind::out_of_order)
+    {
+        note_unusable(config, record, result);
+        return false;
+    }
+    count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
+    const time_ms age = std::max<time_ms>(wall_now() - record.appended, 0);
+    observe(self.stats, "record_age_seconds", static_cast<double>(age) / ms_per_second);
+    log_fold(record, result, config.state.version, source, age);
+    keep_recent(config, compact);
+    note_superseded(config, record, result.kind);
+    config.delta_unusable = false;
+    if (spread && (self.config.log_push_records || is_pushed(record, compact)))
+    {
+        self.pending.records.push_back(compact);
+    }
+    return true;
+}
+
+/** Folds what was kept of peers' records up to the first that is missing. */
+std::size_t fold_early(node& self)
+{
+    replica& config = self.config_replica;
+    std::size_t folded = 0;
+    while (const auto next = take_early(config, config.state.next_offset))
+    {
+        if (!fold_next(self, next->record, next->source, false))
+        {
+            break;
+        }
+        ++folded;
+    }
+    return folded;
+}
+
+} // namespace
+
 std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
 {
     replica& config = self.config_replica;
@@ -126,30 +204,16 @@
     std::size_t folded = 0;
     for (const log_record& record : records)
     {
-        if (record.offset != config.state.next_offset)
+        if (record.offset > config.state.next_offset)
         {
-            continue;
+            keep_early(config, record, source);
         }
-        const log_record compact = compact_record(config.state, record);
-        const fold_result result = fold_record(config.state, record);
-        if (result.kind == fold_kind::out_of_order)
-        {
-            note_unusable(config, record, result);
-            continue;
-        }
-        ++folded;
-        count(self.stats, "records_folded{result=\"" + std::string(to_string(result.kind)) + "\"}");
-        const time_ms age = std::max<time_ms>(wall_now() - record.appended, 0);
-        observe(self.stats, "record_age_seconds", static_cast<double>(age) / ms_per_second);
-        log_fold(record, result, config.state.version, source, age);
-        keep_recent(config, compact);
-        note_superseded(config, record, result.kind);
-        config.delta_unusable = false;
-        if (spread && (self.config.log_push_records || is_pushed(record, compact)))
+        else if (record.offset == config.state.next_offset)
         {
-            self.pending.records.push_back(compact);
+            folded += fold_next(self, record, source, spread) ? 1 : 0;
         }
     }
+    folded += fold_early(self);
     if (folded == 0)
     {
         return 0;
@@ -187,6 +251,7 @@
               {{"source", source},
                {"next_offset", config.state.next_offset},
                {"version", config.state.version}});
+    fold_early(self);
     config_changed(self);
     check_ready(self);
     return true;
--- /dev/null
+++ b/test/replica-records-test.cpp
@@ -0,0 +1,109 @@
+#define BOOST_TEST_MODULE replica_records
+#include <boost/test/unit_test.hpp>
+
+#include "replica_records.hpp"
+
+#include <string>
+#include <vector>
+
+using namespace sardinepoint;
+
+namespace
+{
+
+whole_config config_of(std::uint64_t version, int routes)
+{
+    whole_config config{.version = version, .routes = {}, .services = {}, .limits = {}};
+    config.services["board"] = {.name = "board", .versions = {}};
+    for (int i = 0; i < routes; ++i)
+    {
+        const std::string name = "r" + std::to_string(i);
+        config.routes[name] = {
+            .name = name, .prefix = "/" + name + "/", .service = "board", .split = {}};
+    }
+    return config;
+}
+
+/** A node at offset 1 with version 1, and what peers and the log send it. */
+struct following_node
+{
+    node self;
+
+    following_node()
+    {
+        const log_record first{.offset = 0, .body = "", .whole = config_of(1, 1)};
+        apply_records(this->self, {&first, 1}, "log");
+    }
+
+    /** The change from one configuration to the next, as a peer passes it on. */
+    static log_record delta(std::uint64_t offset, int routes_before, int routes)
+    {
+        config_state before;
+        before.version = offset;
+        before.routes = config_of(offset, routes_before).routes;
+        return {.offset = offset,
+                .body = dump_delta(make_delta(before, config_of(offset + 1, routes)))};
+    }
+
+    void take(const log_record& record, std::string_view source = "peer")
+    {
+        apply_records(this->self, {&record, 1}, source);
+    }
+
+    std::uint64_t version() const
+    {
+        return this->self.config_replica.state.version;
+    }
+};
+
+} // namespace
+
+// Guards against a daemon that stays late as long as changes follow each other: while it read a
+// large one, the small ones after it were lost, and it read a whole configuration for each of them.
+BOOST_FIXTURE_TEST_CASE(changes_that_come_before_one_that_is_read_are_kept, following_node)
+{
+    this->take(delta(3, 9, 10));
+    this->take(delta(2, 8, 9));
+    this->take(delta(4, 10, 11));
+    BOOST_TEST(this->version() == 1U);
+    this->take({.offset = 1, .body = "", .whole = config_of(2, 8)}, "log");
+    BOOST_TEST(this->version() == 5U);
+    BOOST_TEST(this->self.config_replica.state.routes.size() == 11U);
+    BOOST_TEST(this->self.config_replica.early.empty());
+    BOOST_TEST(this->self.config_replica.early_bytes == 0U);
+}
+
+// Guards against kept changes that are applied to a state they were not made for.
+BOOST_FIXTURE_TEST_CASE(kept_change_to_another_version_is_dropped, following_node)
+{
+    this->take(delta(2, 8, 9));
+    this->take({.offset = 1, .body = "", .whole = config_of(7, 3)}, "log");
+    BOOST_TEST(this->version() == 7U);
+    BOOST_TEST(this->self.config_replica.state.routes.size() == 3U);
+    BOOST_TEST(this->self.config_replica.state.next_offset == 2U);
+    BOOST_TEST(this->self.config_replica.early.empty());
+    this->take({.offset = 2, .body = "", .whole = config_of(8, 4)}, "log");
+    BOOST_TEST(this->version() == 8U);
+}
+
+// Guards against memory that grows with what a daemon can't fold yet.
+BOOST_FIXTURE_TEST_CASE(kept_changes_are_bounded, following_node)
+{
+    constexpr std::uint64_t many = 1000;
+    constexpr std::size_t most_bytes = 300U << 10U;
+    for (std::uint64_t offset = 2; offset < many; ++offset)
+    {
+        log_record record = delta(offset, 8, 9);
+        record.body += std::string(1024, ' ');
+        this->take(record);
+        this->take(record);
+    }
+    std::size_t bytes = 0;
+    for (const auto& [offset, entry] : this->self.config_replica.early)
+    {
+        bytes += entry.record.body.size();
+    }
+    BOOST_TEST(bytes > 0U);
+    BOOST_TEST(bytes <= most_bytes);
+    BOOST_TEST(bytes == this->self.config_replica.early_bytes);
+}
