Follow the configuration during a planned stop

A daemon that got SIGTERM serves its callers for 2.5 s and more, but read the store no more and was told by nobody.

Now the tick of the replica reads what is missing until the process ends.

--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -405,7 +405,7 @@
     }
     check_ready(self);
     const time_ms now = steady_now();
-    if (config.reading || now < config.next_read || self.leaving)
+    if (config.reading || now < config.next_read)
     {
         return;
     }
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -467,6 +467,17 @@
 
 constexpr time_ms apply_limit_ms = 2000;
 
+/** Services whose routes make a change that isn't pushed. */
+std::set<std::string> many_services(int count)
+{
+    std::set<std::string> services{"board"};
+    for (int i = 0; i < count; ++i)
+    {
+        services.insert("desk-" + std::to_string(i));
+    }
+    return services;
+}
+
 /** Six daemons, three of which follow the store. */
 struct three_readers : rig::fleet
 {
@@ -718,12 +729,7 @@
 BOOST_FIXTURE_TEST_CASE(large_change_is_read_by_all, three_readers)
 {
     const std::vector<double> before = this->store_reads();
-    std::set<std::string> services{"board"};
-    for (int i = 0; i < 60; ++i)
-    {
-        services.insert("desk-" + std::to_string(i));
-    }
-    this->publish(2, services);
+    this->publish(2, many_services(60));
     BOOST_TEST(this->all_take(2));
     const std::vector<double> after = this->store_reads();
     for (std::size_t i = 0; i < before.size(); ++i)
@@ -796,6 +802,22 @@
     BOOST_TEST(this->store_reads()[told] == before[told]);
 }
 
+// Guards against a daemon in a planned stop that serves callers by an old configuration: it read
+// the store no more, and was late by the time after which peers are asked for large records.
+BOOST_FIXTURE_TEST_CASE(leaving_daemon_reads_large_changes, three_readers)
+{
+    const rig::fleet_daemon& leaving = *this->daemons.front();
+    leaving.run->signal(SIGTERM);
+    // A poll that was under way ends; after 2.5 s all calls are refused.
+    constexpr time_ms poll_end_ms = 600;
+    constexpr time_ms serving_ms = 1700;
+    this->run_for(poll_end_ms);
+    const double before = this->store_reads().front();
+    this->publish(2, many_services(200));
+    BOOST_TEST(this->run_until(serving_ms, [&] { return serves_version(leaving, 2); }));
+    BOOST_TEST(this->store_reads().front() > before);
+}
+
 // Guards against 404 for routes that a newer configuration has, at daemons that know of it and
 // can't read it yet.
 BOOST_FIXTURE_TEST_CASE(route_is_not_denied_while_a_newer_configuration_is_read, three_readers)
