Read the store when no peer has been heard for 1.5 s

A daemon that does not follow the store relies on peers. Cut off from them while it reached the store, it read by itself only when membership had given up all others (2 to 6 s) or when the configuration was 6 s old; callers were served by the old one, with a bound of the platform of 2 or 2.5 s.

Peers exchange digests each second, so a silence of 1.5 s shows that none can be reached; then the store is read whenever the configuration is 0.5 s old, until a peer is heard. With peers around nothing changes, so it costs no calls.

Test: sidecar-test/daemon_without_peers_reads_the_store failed before (3 of 3), passes now (4 of 4).

--- a/src/node.hpp
+++ b/src/node.hpp
@@ -195,6 +195,8 @@
     /** By root id and incarnation. */
     std::map<std::string, broadcast_window> broadcasts_seen;
     time_ms contacts_read = 0;
+    /** Steady time of the last message or answer of another daemon. */
+    time_ms peers_heard_at = 0;
     /** Steady time of the last announcement as gateway; 0 if one is due. */
     time_ms gateway_announced = 0;
     time_ms first_peer_answer = 0;
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -64,6 +64,7 @@
     if (!sender.empty())
     {
         on_peer_heard(self.detector, self.members, sender, steady_now());
+        self.peers_heard_at = steady_now();
     }
     if (path == "/peer/v1/probe-via")
     {
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -30,6 +30,10 @@
 // Three missed freshness broadcasts of both fetchers.
 constexpr time_ms stale_after_ms = 6000;
 constexpr time_ms stale_jitter_ms = 4000;
+// Peers exchange digests each second, so silence for longer means that none can be reached.
+constexpr time_ms lone_after_ms = 1500;
+// Age of the configuration at which a daemon without peers reads the log.
+constexpr time_ms lone_stale_after_ms = 500;
 // With the log out, the newest offset among the peers that answer in this time must be reached.
 constexpr time_ms peer_answers_wait_ms = 500;
 
@@ -415,9 +419,11 @@
         read_log(self);
         return;
     }
-    if (freshness_age(self) > stale_after_ms)
+    const time_ms silence = now - self.peers_heard_at;
+    if (freshness_age(self) > (silence > lone_after_ms ? lone_stale_after_ms : stale_after_ms))
     {
-        log_event(log_level::info, "log_read_without_fetcher", {{"age_ms", freshness_age(self)}});
+        log_event(log_level::info, "log_read_without_fetcher",
+                  {{"age_ms", freshness_age(self)}, {"peers_silent_ms", silence}});
         read_log(self);
         config.next_read = now + stale_after_ms + jitter(self, stale_jitter_ms);
     }
--- a/src/sync.cpp
+++ b/src/sync.cpp
@@ -123,6 +123,7 @@
               {
                   if (answer != nullptr)
                   {
+                      self.peers_heard_at = steady_now();
                       apply_records_message(self, *answer, "peer " + to_string(peer));
                       if (!wants_records(self))
                       {
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -818,6 +818,22 @@
     BOOST_TEST(this->store_reads().front() > before);
 }
 
+// Guards against daemons that rely on peers which they can't reach, while the store is there: they
+// read it themselves only when membership had given up the others, or after 6 s.
+BOOST_FIXTURE_TEST_CASE(daemon_without_peers_reads_the_store, relayed_readers)
+{
+    std::vector<rig::relay_rule> rules;
+    for (const auto& daemon : this->daemons)
+    {
+        rules.push_back({.target = daemon->id, .action = rig::relay_action::hold});
+    }
+    apply_rules(*this->relay, rules);
+    this->publish(2, {"board"});
+    BOOST_TEST(this->all_take(2));
+    this->publish(3, {"board"});
+    BOOST_TEST(this->all_take(3));
+}
+
 // Guards against 404 for routes that a newer configuration has, at daemons that know of it and
 // can't read it yet.
 BOOST_FIXTURE_TEST_CASE(route_is_not_denied_while_a_newer_configuration_is_read, three_readers)
