Tell peers of a state that was loaded whole

After the store had dropped the operators' records (compaction), the readers loaded the newest configuration and told nobody. With other luck they wait for the broadcast of freshness, each 2 s, or for an exchange with a reader; together with the load that is longer than the 2.5 s that the platform allows.

Now a reader that adopts a state from the log tells of it like of records that are too large to be pushed.

Test: replica-records-test/readers_tell_of_a_state_that_was_loaded_whole failed before.

--- a/src/replica_records.cpp
+++ b/src/replica_records.cpp
@@ -258,6 +258,12 @@
     fold_early(self);
     config_changed(self);
     check_ready(self);
+    if (spreads_records(self, source))
+    {
+        self.pending.unpushed = true;
+        self.pending.freshness = true;
+        schedule_flush(self);
+    }
     return true;
 }
 
--- a/test/replica-records-test.cpp
+++ b/test/replica-records-test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE replica_records
 #include <boost/test/unit_test.hpp>
 
+#include "replica.hpp"
 #include "replica_records.hpp"
 
 #include <string>
@@ -107,3 +108,33 @@
     BOOST_TEST(bytes <= most_bytes);
     BOOST_TEST(bytes == this->self.config_replica.early_bytes);
 }
+
+// Guards against readers that tell nobody what they got after the log had dropped records: the
+// others heard of it by chance or read by themselves when the configuration was 6 s old.
+BOOST_AUTO_TEST_CASE(readers_tell_of_a_state_that_was_loaded_whole)
+{
+    const event_loop_ptr loop = make_event_loop();
+    config_state state;
+    fold_record(state, {.offset = 0, .body = "", .whole = config_of(1, 1)});
+    int readers = 0;
+    for (const char* id : {"a", "b", "c"})
+    {
+        node self;
+        self.loop = loop.get();
+        self.config.id = id;
+        self.config.domain = "north";
+        self.config.log_readers = 2;
+        self.config.log_push_records = false;
+        self.members.self_id = id;
+        for (const char* member : {"a", "b", "c"})
+        {
+            self.members.members[member].record = {.id = member, .domain = "north"};
+        }
+        BOOST_TEST(adopt_snapshot(self, make_snapshot(state), "log"));
+        BOOST_TEST(self.pending.freshness == is_fetcher(self));
+        BOOST_TEST(self.pending.unpushed == is_fetcher(self));
+        BOOST_TEST(self.pending.scheduled == is_fetcher(self));
+        readers += is_fetcher(self) ? 1 : 0;
+    }
+    BOOST_TEST(readers == 2);
+}
