Bound the memory of answers that are being received

Now a pool gives up the largest answer when all that are being received take more than a quarter of the memory that the new setting [daemon] memory_mb names; its connection is closed, so that the upstream's slot is free.

Test: pool-test/endless_answer_is_given_up failed before for both bodies (32 MB were taken, 16 MB are allowed in the test); another call goes on meanwhile.

--- a/include/sardinepoint/connection_pool.hpp
+++ b/include/sardinepoint/connection_pool.hpp
@@ -48,7 +48,14 @@
     std::function<bool(const http_response&)> owns_answer = {};
 };
 
-connection_pool_ptr open_connection_pool(event_loop& loop);
+struct connection_pool_options
+{
+    /** Bytes of answers that are being received; beyond it the largest of them is given up. */
+    std::size_t most_received_bytes = 64U << 20U;
+};
+
+connection_pool_ptr open_connection_pool(event_loop& loop,
+                                         const connection_pool_options& options = {});
 
 /** Starts a call; the callback runs once, later, unless the call is cancelled. */
 call_id send_request(connection_pool& pool, pool_call call, std::function<void(http_result)> done);
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -62,6 +62,7 @@
     std::uint16_t advertised_data_port = 0;
     std::uint16_t advertised_control_port = 0;
     time_ms shutdown_timeout = 10000;
+    int memory_mb = 256;
     /** Name in registry<platform_adapter>. */
     std::string platform = "standin";
     log_level level = log_level::info;
--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -89,6 +90,7 @@
 {
 public:
     event_loop* loop = nullptr;
+    connection_pool_options options;
     std::unordered_map<std::uint64_t, std::unique_ptr<pooled_connection>> connections;
     /** Idle connections by peer, the one used last at the end. */
     std::map<std::string, std::vector<std::uint64_t>> idle;
@@ -329,6 +331,42 @@
     lose_connection(pool, connection.id, lost("the connection was closed"));
 }
 
+std::size_t received_bytes(const pooled_connection& connection)
+{
+    const std::size_t body = connection.parser ? connection.parser->get().body().size() : 0;
+    return connection.input.size() + body;
+}
+
+/** Gives up the largest answer if all that are being received take too much memory. */
+void bound_received(connection_pool& pool, const pooled_connection& grown)
+{
+    // Smaller ones are not worth a look at all connections after each read.
+    constexpr std::size_t large_bytes = 1U << 20U;
+    if (received_bytes(grown) < std::min(large_bytes, pool.options.most_received_bytes))
+    {
+        return;
+    }
+    std::size_t all = 0;
+    std::size_t most = 0;
+    std::uint64_t largest = 0;
+    for (const auto& [id, connection] : pool.connections)
+    {
+        const std::size_t bytes = received_bytes(*connection);
+        all += bytes;
+        if (bytes > most)
+        {
+            most = bytes;
+            largest = id;
+        }
+    }
+    if (all > pool.options.most_received_bytes)
+    {
+        lose_connection(pool, largest,
+                        {.reason = "the answer is larger than there is memory for: " +
+                                   std::to_string(most) + " bytes are received"});
+    }
+}
+
 void read_connection(connection_pool& pool, pooled_connection& connection)
 {
     std::array<char, read_bytes> buffer; // NOLINT: filled by recv
@@ -355,7 +393,12 @@
         return;
     }
     connection.input.append(buffer.data(), static_cast<std::size_t>(result));
+    const std::uint64_t id = connection.id;
     parse_input(pool, connection);
+    if (const pooled_connection* open = find_connection(pool, id))
+    {
+        bound_received(pool, *open);
+    }
 }
 
 /** False if the connection failed. */
@@ -608,10 +651,11 @@
     delete pool;
 }
 
-connection_pool_ptr open_connection_pool(event_loop& loop)
+connection_pool_ptr open_connection_pool(event_loop& loop, const connection_pool_options& options)
 {
     connection_pool_ptr pool(new connection_pool);
     pool->loop = &loop;
+    pool->options = options;
     connection_pool* raw = pool.get();
     pool->sweep_timer = run_every(loop, sweep_interval_ms, [raw] { sweep(*raw); });
     return pool;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -108,7 +108,7 @@
     self.data_client = open_http_client(*self.loop, client_options);
     client_options.priority = io_priority::urgent;
     self.control_client = open_http_client(*self.loop, client_options);
-    self.upstream_pool = open_connection_pool(*self.loop);
+    self.upstream_pool = open_connection_pool(*self.loop, pool_options(self.config));
     self.log = {.http = self.control_client.get(),
                 .protocol = &registry<platform_adapter>::find(self.config.platform)->log,
                 .service = self.config.log,
@@ -279,6 +279,14 @@
     spread_member(self, self.config.id);
 }
 
+connection_pool_options pool_options(const settings& config)
+{
+    constexpr std::size_t bytes_per_mb = 1U << 20U;
+    constexpr std::size_t part = 4;
+    return {.most_received_bytes =
+                static_cast<std::size_t>(config.memory_mb) * bytes_per_mb / part};
+}
+
 std::uint64_t control_bytes(const node& self)
 {
     return transferred_bytes(*self.control_client) + transferred_bytes(*self.control_server);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -226,6 +226,9 @@
 /** Publishes the own record to the failure domain if it changed. */
 void publish_self_record(node& self);
 
+/** Options of a pool of which a daemon has two: each may take a quarter of the memory. */
+connection_pool_options pool_options(const settings& config);
+
 /** Bytes sent and received for control so far. */
 std::uint64_t control_bytes(const node& self);
 
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -140,7 +140,7 @@
     self.side->retry_bounds = {.ratio = self.config.sidecar.retry_ratio,
                                .window = self.config.sidecar.retry_window,
                                .extra = self.config.sidecar.retry_extra};
-    self.side->peer_pool = open_connection_pool(*self.loop);
+    self.side->peer_pool = open_connection_pool(*self.loop, pool_options(self.config));
     self.side->outbound_server = open_pipelined_server(
         *self.loop, {.address = *self.config.sidecar.outbound, .turns = &self.side->turns},
         {.on_request = [&self](request_id id, http_request request)
--- a/test/pool-test.cpp
+++ b/test/pool-test.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE pool
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "rig/loop.hpp"
@@ -27,7 +29,9 @@
 struct raw_peer
 {
     event_loop_ptr loop = make_event_loop();
-    connection_pool_ptr pool = open_connection_pool(*this->loop);
+    static constexpr std::size_t most_received_bytes = 4U << 20U;
+    connection_pool_ptr pool =
+        open_connection_pool(*this->loop, {.most_received_bytes = most_received_bytes});
     int listener = -1;
     endpoint address;
     std::vector<int> accepted;
@@ -395,3 +399,52 @@
     BOOST_REQUIRE(this->ended());
     BOOST_TEST((this->result->outcome == call_outcome::not_sent));
 }
+
+namespace
+{
+
+constexpr std::array endless_heads{
+    "HTTP/1.1 200 OK\r\nX-Fill: ", "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n\r\n"};
+
+} // namespace
+
+// Guards against an upstream in trouble that sends bytes without end, in a head or a body, and
+// takes the memory of the daemon with them.
+BOOST_DATA_TEST_CASE(endless_answer_is_given_up, boost::unit_test::data::make(endless_heads), head)
+{
+    raw_peer peer;
+    peer.start(peer.get("endless"));
+    BOOST_REQUIRE(!peer.receive(0).empty());
+    std::optional<http_result> other;
+    send_request(*peer.pool, peer.get("other"),
+                 [&](http_result value) { other = std::move(value); });
+    BOOST_REQUIRE(!peer.receive(1).empty());
+    peer.send(1, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha");
+    peer.send(0, head);
+    const std::string fill(64U << 10U, 'x');
+    std::size_t sent = 0;
+    const bool ended = peer.run_until(
+        [&]
+        {
+            ssize_t taken = 0;
+            do
+            {
+                taken =
+                    ::send(peer.accepted[0], fill.data(), fill.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+                sent += static_cast<std::size_t>(std::max<ssize_t>(taken, 0));
+            } while (taken > 0);
+            return peer.result.has_value() || sent > 8 * raw_peer::most_received_bytes;
+        });
+    BOOST_TEST(ended);
+    // Buffers of both sockets hold some of it.
+    BOOST_TEST(sent <= 4 * raw_peer::most_received_bytes);
+    BOOST_REQUIRE(peer.result.has_value());
+    BOOST_TEST((peer.result->outcome == call_outcome::unknown));
+    BOOST_TEST(!peer.result->reason.empty());
+    BOOST_TEST(open_connections(*peer.pool) == 1U);
+    // Other calls go on.
+    peer.send(1, "lf");
+    BOOST_TEST(peer.run_until([&] { return other.has_value(); }));
+    BOOST_TEST(other->response.body == "half");
+}
