Reject invalid configurations whole, whoever published them

The store of the platform refuses invalid ones, so none was seen; the daemons relied on that alone: a whole configuration was folded with routes to services that it does not name, splits without weight (a division by zero on the path of calls), negative weights and timeouts of 0, while patches were checked.

Now the fold checks a published configuration and changes nothing if it is invalid; its record is passed over by peers too. So does the load from the store's newest records.

Test: fold-test/invalid_configuration_changes_nothing failed before in all 8 cases.

--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -316,11 +316,19 @@
     return result;
 }
 
+/** Applies a configuration from the log; one that is invalid changes nothing. */
+fold_result fold_published(config_state& state, whole_config next)
+{
+    error reason;
+    return check_whole_config(next, reason) ? fold_whole_config(state, std::move(next))
+                                            : fold_result{.reason = reason};
+}
+
 fold_result fold_whole_text(config_state& state, const log_record& record)
 {
     error reason;
     auto next = parse_whole_config(record.body, reason);
-    return next ? fold_whole_config(state, std::move(*next)) : fold_result{.reason = reason};
+    return next ? fold_published(state, std::move(*next)) : fold_result{.reason = reason};
 }
 
 /** A delta to another version than the state's says nothing: the record itself is still needed. */
@@ -473,7 +481,7 @@
         return {.kind = fold_kind::out_of_order};
     }
     fold_result result =
-        record.whole ? fold_whole_config(state, *record.whole) : fold_body(state, record);
+        record.whole ? fold_published(state, *record.whole) : fold_body(state, record);
     if (result.kind != fold_kind::out_of_order)
     {
         ++state.next_offset;
--- a/src/replica_records.cpp
+++ b/src/replica_records.cpp
@@ -158,7 +158,7 @@
 bool fold_next(node& self, const log_record& record, std::string_view source, bool spread)
 {
     replica& config = self.config_replica;
-    const log_record compact = compact_record(config.state, record);
+    log_record compact = compact_record(config.state, record);
     const fold_result result = fold_record(config.state, record);
     if (result.kind == fold_kind::out_of_order)
     {
@@ -169,6 +169,11 @@
     const time_ms age = std::max<time_ms>(wall_now() - record.appended, 0);
     observe(self.stats, "record_age_seconds", static_cast<double>(age) / ms_per_second);
     log_fold(record, result, config.state.version, source, age);
+    if (record.whole && result.kind == fold_kind::malformed)
+    {
+        // Peers pass over it, as this daemon does.
+        compact.body = R"({"kind":"foreign"})";
+    }
     keep_recent(config, compact);
     note_superseded(config, record, result.kind);
     config.delta_unusable = false;
--- a/src/whole_config.cpp
+++ b/src/whole_config.cpp
@@ -24,6 +24,43 @@
 // An outcome is final once it is published, so nothing is left to watch.
 constexpr time_ms order_watch_ms = 0;
 
+/** The services of a route with their weights; a route without a split has one. */
+std::vector<split_target> targets_of(const route& value)
+{
+    return value.split.empty() ? std::vector<split_target>{{.service = value.service, .weight = 1}}
+                               : value.split;
+}
+
+bool check_targets(const whole_config& config, const route& value, error& reason)
+{
+    double sum = 0;
+    for (const split_target& target : targets_of(value))
+    {
+        if (!config.services.contains(target.service))
+        {
+            reason = {error_kind::unknown_service,
+                      "route '" + value.name + "' names the unknown service '" + target.service +
+                          "'",
+                      "name a service of the same configuration"};
+            return false;
+        }
+        if (!(target.weight >= 0))
+        {
+            reason = {kind, "route '" + value.name + "' has a negative weight",
+                      "give weights of 0 or more"};
+            return false;
+        }
+        sum += target.weight;
+    }
+    if (!(sum > 0))
+    {
+        reason = {kind, "route '" + value.name + "' has no weight above 0",
+                  "give one service of the split a weight"};
+        return false;
+    }
+    return true;
+}
+
 template <typename Value>
 json values_json(const std::map<std::string, Value>& values)
 {
@@ -58,6 +95,29 @@
         .dump();
 }
 
+bool check_whole_config(const whole_config& config, error& reason)
+{
+    for (const auto& [name, value] : config.routes)
+    {
+        if (!value.prefix.starts_with('/'))
+        {
+            reason = {kind, "route '" + name + "' has the prefix '" + value.prefix + "'",
+                      "begin prefixes with a slash"};
+            return false;
+        }
+        if (value.timeout <= 0)
+        {
+            reason = {kind, "route '" + name + "' has no timeout above 0", "give it a timeout"};
+            return false;
+        }
+        if (!check_targets(config, value, reason))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 config_delta make_delta(const config_state& state, const whole_config& next)
 {
     config_delta delta{.base = state.version,
--- a/test/fold-test.cpp
+++ b/test/fold-test.cpp
@@ -263,6 +263,91 @@
 
 } // namespace
 
+namespace
+{
+
+struct invalid_config
+{
+    const char* what;
+    void (*spoil)(whole_config&);
+};
+
+std::ostream& operator<<(std::ostream& out, const invalid_config& sample)
+{
+    return out << sample.what;
+}
+
+route& first_route(whole_config& config)
+{
+    return config.routes.begin()->second;
+}
+
+const invalid_config invalid_configs[] = {
+    {"unknown service",
+     [](whole_config& config)
+     {
+         first_route(config).service = "nowhere";
+     }},
+    {"unknown service of a split",
+     [](whole_config& config)
+     {
+         first_route(config).split = {{first_route(config).service, 1}, {"nowhere", 1}};
+     }},
+    {"no weight",
+     [](whole_config& config)
+     {
+         first_route(config).split = {{first_route(config).service, 0}};
+     }},
+    {"negative weight",
+     [](whole_config& config)
+     {
+         const std::string service = first_route(config).service;
+         first_route(config).split = {{service, -1}, {service, 2}};
+     }},
+    {"bare prefix",
+     [](whole_config& config)
+     {
+         first_route(config).prefix = "board/";
+     }},
+    {"empty prefix",
+     [](whole_config& config)
+     {
+         first_route(config).prefix = "";
+     }},
+    {"no timeout",
+     [](whole_config& config)
+     {
+         first_route(config).timeout = 0;
+     }},
+    {"no services",
+     [](whole_config& config)
+     {
+         config.services.clear();
+     }},
+};
+
+} // namespace
+
+// Guards against an invalid configuration that comes into force, whole or in part.
+BOOST_DATA_TEST_CASE(invalid_configuration_changes_nothing,
+                     boost::unit_test::data::make(invalid_configs), sample)
+{
+    config_state state;
+    fold_record(state, {.offset = 0, .whole = small_config(3)});
+    BOOST_REQUIRE_EQUAL(state.version, 3U);
+    config_state before = state;
+    whole_config spoiled = small_config(7);
+    sample.spoil(spoiled);
+    const fold_result result = fold_record(state, {.offset = 1, .whole = spoiled});
+    BOOST_TEST((result.kind == fold_kind::malformed));
+    BOOST_TEST(!result.reason.message.empty());
+    before.next_offset = 2;
+    BOOST_TEST(dump_state(state) == dump_state(before));
+    // The next one is taken.
+    fold_record(state, {.offset = 2, .whole = small_config(9)});
+    BOOST_TEST(state.version == 9U);
+}
+
 // Guards against daemons that hold different configurations of one version because one got it whole
 // and the other as a change.
 BOOST_AUTO_TEST_CASE(delta_gives_the_state_of_the_whole_configuration)
--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -36,7 +36,8 @@
 json valid_config()
 {
     return json::parse(R"({"Version":"0000001f",
-        "Services":[{"Name":"board","HealthPath":"/healthz","MaxConns":130}],
+        "Services":[{"Name":"board","HealthPath":"/healthz","MaxConns":130},
+                    {"Name":"desk","HealthPath":"/healthz","MaxConns":130}],
         "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeout":"3000ms",
                   "IdleTimeout":"15s"},
         "Hosts":[{"Host":"one.example","Paths":[
--- a/test/replica-records-test.cpp
+++ b/test/replica-records-test.cpp
@@ -4,6 +4,7 @@
 #include "replica.hpp"
 #include "replica_records.hpp"
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -138,3 +139,46 @@
     }
     BOOST_TEST(readers == 2);
 }
+
+// Guards against a version that falls, whatever comes in which order from the log and from peers.
+BOOST_AUTO_TEST_CASE(version_never_falls)
+{
+    constexpr int runs = 200;
+    constexpr int steps = 60;
+    constexpr std::uint64_t versions = 20;
+    std::mt19937_64 random{7};
+    const auto pick = [&](std::uint64_t least, std::uint64_t most)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(least, most)(random);
+    };
+    for (int run = 0; run < runs; ++run)
+    {
+        following_node node;
+        std::uint64_t version = node.version();
+        for (int step = 0; step < steps; ++step)
+        {
+            const std::uint64_t offset = pick(0, versions);
+            const int routes = static_cast<int>(pick(1, 5));
+            config_state state;
+            switch (pick(0, 3))
+            {
+            case 0:
+                node.take({.offset = offset, .body = "", .whole = config_of(pick(0, versions), 2)},
+                          "log");
+                break;
+            case 1:
+                node.take(following_node::delta(offset, routes, routes + 1));
+                break;
+            case 2:
+                node.take({.offset = offset, .body = R"({"kind":"foreign"})"});
+                break;
+            default:
+                fold_record(state, {.offset = 0, .whole = config_of(pick(0, versions), 3)});
+                state.next_offset = offset;
+                adopt_snapshot(node.self, make_snapshot(state), "peer");
+            }
+            BOOST_REQUIRE_GE(node.version(), version);
+            version = node.version();
+        }
+    }
+}
