Leave calls half of the time while messages of control never end

The first form of the priorities gave calls 5 ms for each pass over the urgent descriptors, however long that took, and one more pass in each round: with passes of 20 ms calls would get a fifth of the time.

Now the pause between two passes is as long as the last pass, at least 5 ms, and a round that had one makes no other.

--- a/include/sardinepoint/event_loop.hpp
+++ b/include/sardinepoint/event_loop.hpp
@@ -38,7 +38,8 @@
     normal,
     /**
      * Served, like timers that are due, between two callbacks of normal descriptors once these have
-     * run for 5 ms. For messages that must not wait behind a backlog of calls.
+     * run for 5 ms, or for as long as the urgent ones took last time. For messages that must not
+     * wait behind a backlog of calls.
      */
     urgent,
 };
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -10,6 +10,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -30,7 +31,8 @@
 
 constexpr int most_events = 64;
 
-// Longest time without a look at urgent descriptors and timers, but for one callback.
+// Longest time without a look at urgent descriptors and timers, but for one callback. It is longer
+// only if these took longer last time, so that others get half of the time at least.
 constexpr std::int64_t urgent_interval_us = 5000;
 
 ACE_Time_Value to_time_value(time_ms duration)
@@ -118,6 +120,10 @@
     /** Holds the urgent descriptors; watched by the other one itself. */
     int urgent_epoll;
     std::int64_t urgent_served_us = 0;
+    /** Time for other descriptors before the urgent ones are looked at again. */
+    std::int64_t urgent_pause_us = 0;
+    /** Set by the event of the urgent descriptors among the others. */
+    bool urgent_ready = false;
     ACE_Timer_Heap timer_queue;
     ACE_Sig_Handler signals;
     std::unordered_map<std::uint64_t, timer_entry> timers;
@@ -184,6 +190,7 @@
 
 void serve_urgent(event_loop& loop)
 {
+    const std::int64_t begun_us = steady_now_us();
     std::array<epoll_event, most_events> events{};
     const int count = ::epoll_wait(loop.urgent_epoll, events.data(), most_events, 0);
     for (int i = 0; i < count && !loop.stopped; ++i)
@@ -191,6 +198,7 @@
         dispatch(loop, events.at(static_cast<std::size_t>(i)));
     }
     loop.urgent_served_us = steady_now_us();
+    loop.urgent_pause_us = std::max(urgent_interval_us, loop.urgent_served_us - begun_us);
 }
 
 /** Waits for events and serves them; returns when the wait ended. */
@@ -200,15 +208,22 @@
     const int count = ::epoll_wait(loop.epoll, events.data(), most_events, static_cast<int>(wait));
     const std::int64_t woken_us = steady_now_us();
     loop.urgent_served_us = woken_us;
+    loop.urgent_ready = false;
+    bool urgent_served = false;
     for (int i = 0; i < count && !loop.stopped; ++i)
     {
         dispatch(loop, events.at(static_cast<std::size_t>(i)));
-        if (steady_now_us() - loop.urgent_served_us >= urgent_interval_us && !loop.stopped)
+        if (steady_now_us() - loop.urgent_served_us >= loop.urgent_pause_us && !loop.stopped)
         {
-            serve_urgent(loop);
             loop.timer_queue.expire();
+            serve_urgent(loop);
+            urgent_served = true;
         }
     }
+    if (loop.urgent_ready && !urgent_served && !loop.stopped)
+    {
+        serve_urgent(loop);
+    }
     return woken_us;
 }
 
@@ -234,7 +249,7 @@
 {
     event_loop_ptr loop(new event_loop);
     watch_fd(*loop, loop->urgent_epoll, {.read = true},
-             [raw = loop.get()](io_interest) { serve_urgent(*raw); });
+             [raw = loop.get()](io_interest) { raw->urgent_ready = true; });
     return loop;
 }
 
--- a/test/event-loop-test.cpp
+++ b/test/event-loop-test.cpp
@@ -154,3 +154,53 @@
         pair.close_both();
     }
 }
+
+// Guards against calls that starve behind messages of control which never end.
+BOOST_AUTO_TEST_CASE(urgent_descriptors_leave_half_of_the_time)
+{
+    const event_loop_ptr loop = make_event_loop();
+    constexpr int urgent_passes = 20;
+    constexpr std::chrono::milliseconds urgent_time{10};
+    constexpr std::chrono::milliseconds call_time{1};
+    const socket_pair urgent;
+    std::chrono::steady_clock::duration calls_took{};
+    std::chrono::steady_clock::duration urgent_took{};
+    int passes = 0;
+    urgent.send_byte();
+    const auto timed = [](std::chrono::milliseconds time)
+    {
+        const auto begun = std::chrono::steady_clock::now();
+        std::this_thread::sleep_for(time);
+        return std::chrono::steady_clock::now() - begun;
+    };
+    std::vector<socket_pair> backlog(50);
+    for (const socket_pair& pair : backlog)
+    {
+        pair.send_byte();
+        watch_fd(*loop, pair.ends[0], {.read = true},
+                 [&](io_interest) { calls_took += timed(call_time); });
+    }
+    watch_fd(
+        *loop, urgent.ends[0], {.read = true},
+        [&](io_interest)
+        {
+            // Calls follow all but the last one.
+            if (++passes == urgent_passes)
+            {
+                stop(*loop);
+                return;
+            }
+            urgent_took += timed(urgent_time);
+        },
+        io_priority::urgent);
+    run(*loop);
+    // The loop itself takes a part of the calls' time.
+    constexpr int percent = 90;
+    BOOST_TEST(calls_took.count() * 100 >= urgent_took.count() * percent);
+    unwatch_fd(*loop, urgent.ends[0]);
+    for (socket_pair& pair : backlog)
+    {
+        unwatch_fd(*loop, pair.ends[0]);
+        pair.close_both();
+    }
+}
