--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -23,6 +23,12 @@
 constexpr time_ms call_reserve_ms = 2000;
 constexpr const char* host = "one.example";
 
+/** Status of the answer; 0 without one. */
+int status_of(const http_result& result)
+{
+    return result.outcome == call_outcome::answered ? result.response.status : 0;
+}
+
 void answer_request(fleet_upstream& upstream, request_id id, std::string call)
 {
     http_response response{
@@ -33,10 +39,7 @@
     {
         upstream.spoil(response);
     }
-    if (upstream.server)
-    {
-        send_reply(*upstream.server, id, std::move(response));
-    }
+    send_reply(*upstream.server, id, std::move(response));
 }
 
 /** Closes all connections, and accepts new ones at once. */
@@ -61,19 +64,22 @@
                          .version = upstream.version,
                          .request = std::move(request),
                          .at = steady_now()});
-    if (upstream.hang_ups > 0)
-    {
-        --upstream.hang_ups;
-        run_after(*self.loop, upstream.work, [&self, &upstream] { hang_up(self, upstream); });
-        return;
-    }
+    const bool hangs_up = upstream.hang_ups > 0;
+    upstream.hang_ups -= hangs_up ? 1 : 0;
     run_after(*self.loop, upstream.work,
-              [&upstream, id, opening = upstream.openings, call = std::move(call)]
+              [&self, &upstream, id, hangs_up, opening = upstream.openings, call = std::move(call)]
               {
-                  if (upstream.openings == opening)
+                  // A listener that was closed or opened anew meanwhile doesn't know the request.
+                  if (!upstream.server || upstream.openings != opening)
+                  {
+                      return;
+                  }
+                  if (hangs_up)
                   {
-                      answer_request(upstream, id, call);
+                      hang_up(self, upstream);
+                      return;
                   }
+                  answer_request(upstream, id, call);
               });
 }
 
@@ -95,16 +101,15 @@
                          upstream.instance,
                   .body = body.dump(),
                   .timeout = 1000},
-                 [done = std::move(done)](const http_result& result)
-                 { done(result.outcome == call_outcome::answered ? result.response.status : 0); });
+                 [done = std::move(done)](const http_result& result) { done(status_of(result)); });
 }
 
 /** Makes a request that isn't a call; returns the status of the answer, 0 without one. */
-int status_of(fleet& self, http_call request)
+int ask(fleet& self, http_call request)
 {
     std::optional<int> status;
     send_request(*self.http, std::move(request),
-                 [&](const http_result& result) { status = result.response.status; });
+                 [&](const http_result& result) { status = status_of(result); });
     self.run_until(call_reserve_ms, [&] { return status.has_value(); });
     return status.value_or(0);
 }
@@ -294,10 +299,10 @@
 
 int fleet::leave(fleet_daemon& daemon)
 {
-    return status_of(*this, {.method = "POST",
-                             .url = "http://" + to_string(daemon.announcements) +
-                                    "/api/Instances.Deregister/" + daemon.upstream->instance,
-                             .timeout = call_reserve_ms / 2});
+    return ask(*this, {.method = "POST",
+                       .url = "http://" + to_string(daemon.announcements) +
+                              "/api/Instances.Deregister/" + daemon.upstream->instance,
+                       .timeout = call_reserve_ms / 2});
 }
 
 call_id fleet::start_call(const fleet_daemon& daemon, const call_options& options,
@@ -315,7 +320,11 @@
                          .body = options.body,
                          .timeout = options.deadline + call_reserve_ms,
                          .repeatable = false},
-                        std::move(done));
+                        [done = std::move(done)](http_result result)
+                        {
+                            result.response.status = status_of(result);
+                            done(std::move(result));
+                        });
 }
 
 http_result fleet::call(const fleet_daemon& daemon, const call_options& options)
@@ -323,13 +332,13 @@
     std::optional<http_result> result;
     this->start_call(daemon, options, [&](http_result value) { result = std::move(value); });
     this->run_until(options.deadline + 2 * call_reserve_ms, [&] { return result.has_value(); });
-    return result.value_or(http_result{.reason = "no answer at all"});
+    return result.value_or(http_result{.response = {.status = 0}, .reason = "no answer at all"});
 }
 
 int fleet::ready_status(const fleet_daemon& daemon)
 {
-    return status_of(
-        *this, {.url = "http://" + to_string(daemon.readiness) + "/api/readyz", .timeout = 500});
+    return ask(*this,
+               {.url = "http://" + to_string(daemon.readiness) + "/api/readyz", .timeout = 500});
 }
 
 bool fleet::wait_served(const std::string& service, time_ms limit)
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -128,7 +128,7 @@
         std::string id;
     };
 
-    /** Starts a call; the callback gets the answer. */
+    /** Starts a call; the callback gets the answer, with status 0 if there is none. */
     call_id start_call(const fleet_daemon& daemon, const call_options& options,
                        std::function<void(http_result)> done);
     /** Makes a call and waits for its answer. */
--- a/support/rig/free_port.cpp
+++ b/support/rig/free_port.cpp
@@ -1,6 +1,7 @@
 #include "rig/free_port.hpp"
 
-#include <arpa/inet.h>
+#include "socket_address.hpp"
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,19 +17,16 @@
 
 // Outgoing connections take ports from 32768 on by default. One of those may be gone again before
 // the program that was given it listens, and while that program is restarted.
-constexpr int first_port = 10'000;
-constexpr int last_port = 32'000;
+constexpr std::uint16_t first_port = 10'000;
+constexpr std::uint16_t last_port = 32'000;
 constexpr int most_tries = 100;
 
-bool is_free(const std::string& ip, int port)
+bool is_free(const std::string& ip, std::uint16_t port)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    const sockaddr_in address = socket_address({ip, port}).value_or(sockaddr_in{});
     const bool bound =
-        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0; // NOLINT
+        ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0; // NOLINT
     ::close(fd);
     return bound;
 }
@@ -39,13 +37,13 @@
 {
     // Rigs that run side by side must not draw the same ports.
     static std::mt19937 random{std::random_device{}()};
-    std::uniform_int_distribution<int> draw(first_port, last_port);
+    std::uniform_int_distribution<std::uint16_t> draw(first_port, last_port);
     for (int i = 0; i < most_tries; ++i)
     {
-        const int port = draw(random);
+        const std::uint16_t port = draw(random);
         if (is_free(ip, port))
         {
-            return static_cast<std::uint16_t>(port);
+            return port;
         }
     }
     throw std::runtime_error("no free port");
--- a/support/rig/relay.cpp
+++ b/support/rig/relay.cpp
@@ -1,5 +1,7 @@
 #include "rig/relay.hpp"
 
+#include "socket_address.hpp"
+
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -188,19 +190,10 @@
     watch(link.backward, link.forward, false);
 }
 
-sockaddr_in make_address(const endpoint& value)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(value.port);
-    inet_pton(AF_INET, value.address.c_str(), &address.sin_addr);
-    return address;
-}
-
 int connect_to(const endpoint& target)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = make_address(target);
+    const sockaddr_in address = socket_address(target).value_or(sockaddr_in{});
     (void)::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address); // NOLINT
     return fd;
 }
@@ -251,7 +244,7 @@
         name = target.address;
     }
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in address = make_address({target.address, 0});
+    sockaddr_in address = socket_address({target.address, 0}).value_or(sockaddr_in{});
     socklen_t length = sizeof address;
     const bool bound =
         ::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0 && // NOLINT
--- a/support/rig/soak.hpp
+++ b/support/rig/soak.hpp
@@ -32,6 +32,8 @@
     int refused = 0;
     int failed = 0;
     int faults = 0;
+    /** Questions to daemons that were left alone whether a configuration is in force. */
+    int config_checks = 0;
     std::vector<std::string> broken;
 };
 
--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -50,7 +50,8 @@
                            .keep_files = args["--keep"].asBool()});
         std::cout << "seed=" << seed << " calls=" << result.calls << " answered=" << result.answered
                   << " refused=" << result.refused << " failed=" << result.failed
-                  << " faults=" << result.faults << " broken=" << result.broken.size() << std::endl;
+                  << " faults=" << result.faults << " config_checks=" << result.config_checks
+                  << " broken=" << result.broken.size() << std::endl;
         for (const std::string& line : result.broken)
         {
             std::cout << "  " << line << std::endl;
