Give the attempt after a lost one most of the time left

Cause: each attempt got 40% of the time left. After a lost first one that is 0.47 s, of which a call could wait 0.12 s for a slot; upstreams at 96% of their slots refuse it, three times within 15 ms. The part is meant to leave time for another attempt, but an upstream that lost one isn't tried again, so the second one rarely meets a frozen upstream.

Now an attempt after a lost one gets 80% of what is left.

Test: limits-test/attempt_after_a_lost_one_gets_most_of_the_time (new argument, so it did not build before).

--- a/include/sardinepoint/limits.hpp
+++ b/include/sardinepoint/limits.hpp
@@ -144,8 +144,11 @@
 /** Part of the time left that one attempt of an idempotent call may use. */
 inline constexpr double attempt_part = 0.4;
 
+/** Part after an attempt that was lost: less time is left, and its upstream isn't tried again. */
+inline constexpr double attempt_part_after_loss = 0.8;
+
 /** Timeout of one attempt; a call that can't be retried gets all the time left. */
-time_ms attempt_timeout(time_ms time_left, bool idempotent);
+time_ms attempt_timeout(time_ms time_left, bool idempotent, bool attempt_lost);
 
 /** Delay before retry number 1, 2, ... of a refused call: doubles, with jitter. */
 time_ms retry_delay(int retry, std::mt19937_64& rng);
--- a/src/call_attempts.cpp
+++ b/src/call_attempts.cpp
@@ -376,7 +376,8 @@
     call.target = *pick.target;
     call.tried.push_back(call.target.member);
     call.attempt_started = steady_now();
-    const time_ms timeout = attempt_timeout(time_left(call) - hop_margin, call.idempotent);
+    const time_ms timeout =
+        attempt_timeout(time_left(call) - hop_margin, call.idempotent, call.may_have_run);
     if (call.target.member == self.config.id)
     {
         run_here(self, call, timeout);
--- a/src/limits.cpp
+++ b/src/limits.cpp
@@ -252,7 +252,7 @@
     return next;
 }
 
-time_ms attempt_timeout(time_ms time_left, bool idempotent)
+time_ms attempt_timeout(time_ms time_left, bool idempotent, bool attempt_lost)
 {
     // Shorter attempts would fail calls that are only slow.
     constexpr time_ms shortest = 50;
@@ -260,7 +260,8 @@
     {
         return time_left;
     }
-    const auto part = static_cast<time_ms>(static_cast<double>(time_left) * attempt_part);
+    const double share = attempt_lost ? attempt_part_after_loss : attempt_part;
+    const auto part = static_cast<time_ms>(static_cast<double>(time_left) * share);
     return std::min(time_left, std::max(part, shortest));
 }
 
--- a/support/balance_bench.cpp
+++ b/support/balance_bench.cpp
@@ -93,6 +93,7 @@
     std::size_t proxy = 0;
     double arrived = 0;
     int attempts = 0;
+    bool attempt_lost = false;
     bool ended = false;
     std::vector<std::string> tried;
 };
@@ -321,7 +322,7 @@
         this->after(this->delay_between(call->proxy, started->upstream),
                     [this, started] { this->reach_upstream(started); });
         const auto left = static_cast<time_ms>(this->time_left(*call));
-        this->after(static_cast<double>(attempt_timeout(left, true)),
+        this->after(static_cast<double>(attempt_timeout(left, true, call->attempt_lost)),
                     [this, started] { this->time_out(started); });
     }
 
@@ -473,6 +474,7 @@
         note_failure(this->candidate_of(*late), this->balance, elapsed, this->now(), this->rng);
         this->after(this->delay_between(late->call->proxy, late->upstream),
                     [this, late] { this->cancel_at_upstream(late); });
+        late->call->attempt_lost = true;
         this->retry(late->call, run_outcome::unknown);
     }
 
--- a/test/limits-test.cpp
+++ b/test/limits-test.cpp
@@ -231,9 +231,18 @@
 // Guards against an attempt that leaves an idempotent call no time for a retry.
 BOOST_DATA_TEST_CASE(attempts_leave_time, data::make({1, 40, 60, 1000, 60'000}), left)
 {
-    BOOST_TEST(attempt_timeout(left, false) == left);
-    BOOST_TEST(attempt_timeout(left, true) <= left);
-    BOOST_TEST((left < 100 || attempt_timeout(left, true) <= left / 2));
+    BOOST_TEST(attempt_timeout(left, false, false) == left);
+    BOOST_TEST(attempt_timeout(left, true, false) <= left);
+    BOOST_TEST((left < 100 || attempt_timeout(left, true, false) <= left / 2));
+}
+
+// Guards against retries that nearly full upstreams refuse because an earlier attempt took the time
+// to wait for a slot.
+BOOST_AUTO_TEST_CASE(attempt_after_a_lost_one_gets_most_of_the_time)
+{
+    BOOST_TEST(attempt_timeout(1000, true, true) == 800);
+    BOOST_TEST(attempt_timeout(40, true, true) == 40);
+    BOOST_TEST(attempt_timeout(1000, false, true) == 1000);
 }
 
 // Guards against requests that collide because the parts are only joined.
