--- a/src/replica_records.cpp
+++ b/src/replica_records.cpp
@@ -143,17 +143,6 @@
               {{"offset", record.offset}, {"reason", result.reason.message}});
 }
 
-} // namespace
-
-void drop_recent(replica& config)
-{
-    config.recent.clear();
-    config.recent_bytes = 0;
-}
-
-namespace
-{
-
 /** Folds the record that is next; false if it doesn't apply to this state. */
 bool fold_next(node& self, const log_record& record, std::string_view source, bool spread)
 {
@@ -206,6 +195,12 @@
 
 } // namespace
 
+void drop_recent(replica& config)
+{
+    config.recent.clear();
+    config.recent_bytes = 0;
+}
+
 std::size_t apply_records(node& self, std::span<const log_record> records, std::string_view source)
 {
     replica& config = self.config_replica;
