Record the end of a good version's move when its reserve begins

Cause, traced before: the end is decided 2.5 s before the deadline, calls that the old version runs get until 0.5 s before it, but the moment was looked for each 250 ms only, so that half of the reserve could be gone before the first of two calls to the store was made.

Now how long calls get is a decision of its own (settle_time_left), and the end is recorded when that time is up. The calls get as long as before.

Ruled out: a longer reserve, which would take time from the old version's calls.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -227,6 +227,13 @@
 /** Whether the move still needs decisions: it runs, or its watch has not ended. */
 bool is_watched(const move_spec& spec, const move_progress& progress, time_ms now);
 
+/**
+ * Time that the calls which the old version still runs get before the end of a move is recorded.
+ * `done_for` is the time since the move was found done, `now` is the wall clock.
+ */
+time_ms settle_time_left(const move_spec& spec, const move_progress& progress, time_ms done_for,
+                         time_ms now);
+
 // --- Concentration --------------------------------------------------------------------------
 
 struct concentration
--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -22,9 +22,6 @@
 // Ordered moves last some seconds, so a fault has to show within one.
 constexpr time_ms order_report_interval_ms = 250;
 constexpr time_ms order_evidence_lag_ms = 400;
-// Before its end is published, calls that the old version still runs may finish.
-constexpr time_ms order_settle_ms = 2500;
-constexpr time_ms order_deadline_reserve_ms = 500;
 constexpr time_ms report_timeout_ms = 1000;
 // A report is at most one interval old when it is sent and arrives within the rest.
 constexpr time_ms evidence_lag_ms = 1500;
@@ -96,18 +93,6 @@
     return spec.order > 0 ? order_report_interval_ms : report_interval_ms;
 }
 
-/** Whether calls that the old version ran when the last daemon left it have ended. */
-bool has_settled(const move_spec& spec, const tracked_move& tracked)
-{
-    if (spec.order == 0 || tracked.progress.withdrawn)
-    {
-        return true;
-    }
-    const bool waited =
-        tracked.done_since > 0 && steady_now() - tracked.done_since >= order_settle_ms;
-    return waited || wall_now() >= spec.deadline - order_deadline_reserve_ms;
-}
-
 void handle_recorded(node& self, const std::string& move, const outcome_result& result)
 {
     log_event(log_level::info, "move_outcome_appended",
@@ -130,16 +115,31 @@
     request_read(self);
 }
 
+/** Records the end of a move between two ticks, which may be too far apart before its deadline. */
+void append_settled_outcome(node& self, const std::string& move);
+
 void append_outcome(node& self, const move_record& record, tracked_move& tracked)
 {
     const bool ended = tracked.progress.withdrawn || tracked.progress.done;
     const move_state wanted = tracked.progress.withdrawn ? move_state::withdrawn : move_state::done;
     const bool folded = record.state == wanted || record.state == move_state::withdrawn;
     const bool begin_due = record.spec.order > 0 && !ended && !tracked.begin_recorded;
-    if (!begin_due && (!ended || folded || !has_settled(record.spec, tracked)))
+    if (!begin_due && (!ended || folded))
     {
         return;
     }
+    const time_ms done_for = tracked.done_since > 0 ? steady_now() - tracked.done_since : 0;
+    const time_ms settling =
+        begin_due ? 0 : settle_time_left(record.spec, tracked.progress, done_for, wall_now());
+    if (settling > 0)
+    {
+        if (settling < tick_interval_ms)
+        {
+            run_after(*self.loop, settling,
+                      [&self, move = record.spec.id] { append_settled_outcome(self, move); });
+        }
+        return;
+    }
     if (tracked.outcome_appended > 0 && steady_now() - tracked.outcome_appended <
                                             (begin_due ? outcome_retry_ms : end_retry(record)))
     {
@@ -155,6 +155,17 @@
                    { handle_recorded(self, move, result); });
 }
 
+void append_settled_outcome(node& self, const std::string& move)
+{
+    const auto tracked = self.moves->moves.find(move);
+    const move_record* record = find_record(self, move);
+    if (record != nullptr && record->state == move_state::running &&
+        tracked != self.moves->moves.end())
+    {
+        append_outcome(self, *record, tracked->second);
+    }
+}
+
 bool leads_to(const route& value, std::string_view service)
 {
     return value.service == service ||
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -20,6 +20,11 @@
 /** The end is decided this long before the deadline: one decision interval, the spread of the
  * decision and half a second of reserve. */
 constexpr time_ms deadline_lead = 2'500;
+/** Before the end of an ordered move is recorded, calls that the old version still runs may finish.
+ */
+constexpr time_ms order_settle_time = 2'500;
+/** The end is on its way to the store this long before the deadline: two calls to a slow store. */
+constexpr time_ms order_deadline_reserve = 500;
 /** Calls that a move needs when its policy doesn't advance on little evidence. */
 constexpr std::uint64_t enough_calls = 50;
 /** Stands for the sum over all routes in reasons. */
@@ -359,4 +364,15 @@
     return complete(spec, progress, "all steps passed");
 }
 
+time_ms settle_time_left(const move_spec& spec, const move_progress& progress, time_ms done_for,
+                         time_ms now)
+{
+    if (spec.order == 0 || progress.withdrawn)
+    {
+        return 0;
+    }
+    const time_ms until_reserve = spec.deadline - order_deadline_reserve - now;
+    return std::max<time_ms>(std::min(order_settle_time - done_for, until_reserve), 0);
+}
+
 } // namespace sardinepoint
--- a/test/move-test.cpp
+++ b/test/move-test.cpp
@@ -156,6 +156,22 @@
 
 } // namespace
 
+// Guards against the end of a good move that is recorded after its deadline, or before calls that
+// the old version runs have finished.
+BOOST_AUTO_TEST_CASE(end_of_an_order_is_due_before_its_deadline)
+{
+    move_spec order = ten_minutes();
+    order.order = 1;
+    const move_progress done{.done = true};
+    BOOST_TEST(settle_time_left(order, done, 0, order.deadline - 10'000) == 2500);
+    BOOST_TEST(settle_time_left(order, done, 1000, order.deadline - 10'000) == 1500);
+    BOOST_TEST(settle_time_left(order, done, 0, order.deadline - 700) == 200);
+    BOOST_TEST(settle_time_left(order, done, 0, order.deadline - 500) == 0);
+    BOOST_TEST(settle_time_left(order, done, 9000, order.deadline - 10'000) == 0);
+    BOOST_TEST(settle_time_left(order, {.withdrawn = true}, 0, order.deadline - 10'000) == 0);
+    BOOST_TEST(settle_time_left(ten_minutes(), done, 0, 0) == 0);
+}
+
 // Guards against daemons that end in different states after hearing the same news in other orders.
 BOOST_AUTO_TEST_CASE(merge_progress_is_a_semilattice)
 {
