Suspect no request of a crash that was answered within the last second

Cause: the popular request was running on both upstreams when they crashed, so it counted as one that crashes upstreams until a later success had been spread. Since the pool sends no call again that was lost on a kept connection, each such call counts, which raised the number. A mark for such losses would not help: the call that crashes the upstream is lost on a kept connection as well.

Now a daemon remembers for a second which requests its upstream answered (1,024 places, no allocation per call) and counts no crash against these. A request that crashes each upstream that begins to run it is never answered. One that begins to crash upstreams later is suspected a second after its last answer.

--- a/include/sardinepoint/limits.hpp
+++ b/include/sardinepoint/limits.hpp
@@ -157,6 +157,27 @@
 std::uint64_t request_fingerprint(std::string_view method, std::string_view path,
                                   std::string_view body);
 
+/** For this time an answered request isn't suspected if an upstream of the same VM crashes. */
+inline constexpr time_ms answered_time = 1'000;
+
+/** A request that an upstream of this VM answered, and the steady time of the answer. */
+struct answered_request
+{
+    std::uint64_t fingerprint = 0;
+    time_ms at = -answered_time;
+};
+
+/** Requests answered last; of those that share a place by their fingerprint the newest is kept. */
+struct answered_requests
+{
+    std::vector<answered_request> places = std::vector<answered_request>(1024);
+};
+
+void note_answered(answered_requests& answered, std::uint64_t fingerprint, time_ms now);
+
+/** Whether the request was answered within answered_time; "no" proves nothing. */
+bool answered_lately(const answered_requests& answered, std::uint64_t fingerprint, time_ms now);
+
 inline constexpr time_ms quarantine_time = 60'000;
 inline constexpr std::size_t quarantine_upstreams = 2;
 /** Least time between two successes of one request that a daemon spreads. */
--- /dev/null
+++ b/src/crash_evidence.cpp
@@ -0,0 +1,31 @@
+#include "crash_evidence.hpp"
+
+#include "broadcast.hpp"
+
+#include "sardinepoint/logging.hpp"
+
+namespace sardinepoint
+{
+
+void suspect_request(node& self, std::uint64_t fingerprint, std::string_view upstream)
+{
+    if (answered_lately(self.answered, fingerprint, steady_now()))
+    {
+        log_event(log_level::info, "crash_not_counted",
+                  {{"upstream", upstream}, {"fingerprint", fingerprint}});
+        return;
+    }
+    record_crash(self.quarantine, fingerprint, upstream, wall_now());
+    spread_crash(self, fingerprint);
+}
+
+void clear_request(node& self, std::uint64_t fingerprint)
+{
+    note_answered(self.answered, fingerprint, steady_now());
+    if (note_success(self.quarantine, fingerprint, wall_now()))
+    {
+        spread_crash(self, fingerprint);
+    }
+}
+
+} // namespace sardinepoint
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -1,6 +1,6 @@
 #include "inbound.hpp"
 
-#include "peering.hpp"
+#include "crash_evidence.hpp"
 #include "sidecar.hpp"
 
 #include "sardinepoint/logging.hpp"
@@ -139,9 +139,8 @@
                    {
                        result.report.crashed = true;
                        result.report.reason = "the upstream ended while it ran the call";
-                       record_crash(self.quarantine, lost->fingerprint,
-                                    self.config.id + "/" + lost->terms.instance, wall_now());
-                       spread_crash(self, lost->fingerprint);
+                       suspect_request(self, lost->fingerprint,
+                                       self.config.id + "/" + lost->terms.instance);
                        mark_down(self, "it ended while it ran a call and accepts no connection");
                    }
                    finish_running(self, id, std::move(result));
@@ -162,10 +161,7 @@
     {
     case reply_kind::answered:
     {
-        if (note_success(self.quarantine, call->fingerprint, wall_now()))
-        {
-            spread_crash(self, call->fingerprint);
-        }
+        clear_request(self, call->fingerprint);
         if (self.side->served)
         {
             // An upstream that answers is there, even if its announcements are late.
--- a/src/limits.cpp
+++ b/src/limits.cpp
@@ -289,6 +289,17 @@
     return XXH3_64bits_digest(state.get());
 }
 
+void note_answered(answered_requests& answered, std::uint64_t fingerprint, time_ms now)
+{
+    answered.places[fingerprint % answered.places.size()] = {.fingerprint = fingerprint, .at = now};
+}
+
+bool answered_lately(const answered_requests& answered, std::uint64_t fingerprint, time_ms now)
+{
+    const answered_request& last = answered.places[fingerprint % answered.places.size()];
+    return last.fingerprint == fingerprint && now - last.at < answered_time;
+}
+
 crash_entry record_crash(quarantine_table& table, std::uint64_t fingerprint,
                          std::string_view upstream, time_ms wall_now)
 {
--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -1,6 +1,7 @@
 #include "local_hop.hpp"
 
 #include "call_headers.hpp"
+#include "crash_evidence.hpp"
 #include "local_upstreams.hpp"
 #include "peering.hpp"
 
@@ -115,8 +116,7 @@
                    if (!accepted)
                    {
                        ended.crashed = crash_name(self, upstream);
-                       record_crash(self.quarantine, fingerprint, ended.crashed, wall_now());
-                       spread_crash(self, fingerprint);
+                       suspect_request(self, fingerprint, ended.crashed);
                        count(self.stats, "upstream_crashes");
                        log_event(log_level::warning, "upstream_crashed",
                                  {{"upstream", upstream}, {"fingerprint", fingerprint}});
@@ -139,11 +139,7 @@
     {
         return;
     }
-    const std::uint64_t fingerprint = found->second->request.fingerprint;
-    if (note_success(self.quarantine, fingerprint, wall_now()))
-    {
-        spread_crash(self, fingerprint);
-    }
+    clear_request(self, found->second->request.fingerprint);
 }
 
 /**
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -205,6 +205,8 @@
     /** Kept connections to the upstreams of this VM: at most one for each slot. */
     connection_pool_ptr upstream_pool;
     quarantine_table quarantine;
+    /** Popular requests, which are often running on an upstream that crashes. */
+    answered_requests answered;
     key_table keys;
 
     std::map<std::pair<std::string, std::string>, endpoint_group> groups;
--- a/test/limits-test.cpp
+++ b/test/limits-test.cpp
@@ -310,6 +310,22 @@
     BOOST_TEST(is_quarantined(table, 7, 1002));
 }
 
+// Guards against suspecting popular requests each time when an upstream crashes.
+BOOST_AUTO_TEST_CASE(answered_requests_are_known_for_a_second)
+{
+    answered_requests answered;
+    BOOST_TEST(!answered_lately(answered, 7, 0));
+    BOOST_TEST(!answered_lately(answered, 0, 0));
+    note_answered(answered, 7, 5000);
+    BOOST_TEST(answered_lately(answered, 7, 5000 + answered_time - 1));
+    BOOST_TEST(!answered_lately(answered, 7, 5000 + answered_time));
+    const std::uint64_t same_place = 7 + answered.places.size();
+    BOOST_TEST(!answered_lately(answered, same_place, 5000));
+    note_answered(answered, same_place, 5001);
+    BOOST_TEST(answered_lately(answered, same_place, 5001));
+    BOOST_TEST(!answered_lately(answered, 7, 5001));
+}
+
 // Guards against a broadcast for each success of a popular request.
 BOOST_AUTO_TEST_CASE(successes_are_spread_at_a_bounded_rate)
 {
