Give no port to two rigs that run side by side

Cause, shown now by logs that were kept (KEEP_RIG works for these rigs too): 15 of 240 copies of one case, 20 side by side, failed so, and in each a daemon ended with "can't listen: Address already in use". The rigs of two test programs drew the same port while neither listened.

Now a rig draws from blocks of 50 ports, each claimed by a socket that is bound at an address of its own until the process ends.

Test: soak-test/ports_of_two_rigs_differ failed before (500 of 1,000 differed).

--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -187,7 +188,7 @@
         daemon->upstream->server.reset();
     }
     this->store.server.reset();
-    if (!this->keep_files)
+    if (!this->keep_files && std::getenv("KEEP_RIG") == nullptr)
     {
         std::error_code ignored;
         std::filesystem::remove_all(this->work_dir, ignored);
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -91,7 +91,7 @@
     std::uint64_t last_call = 0;
     /** Daemons started from now on that follow the store; the others are told by these. */
     int readers = 100;
-    /** Keeps logs and settings at the end. */
+    /** Keeps logs and settings at the end, as KEEP_RIG in the environment does. */
     bool keep_files = false;
     /** Timeout of the routes that are published from now on. */
     time_ms route_timeout = 2000;
--- a/support/rig/free_port.cpp
+++ b/support/rig/free_port.cpp
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <random>
-#include <set>
 #include <stdexcept>
 
 namespace sardinepoint::rig
@@ -20,37 +19,70 @@
 // the program that was given it listens, and while that program is restarted.
 constexpr std::uint16_t first_port = 10'000;
 constexpr std::uint16_t last_port = 32'000;
-constexpr int most_tries = 100;
+constexpr std::uint16_t block_ports = 50;
+constexpr int most_tries = 1000;
+// Nothing of a rig listens at this address; a port that is bound here stands for a block.
+constexpr const char* lock_ip = "127.255.255.254";
+
+/** Ports of which only this process takes any. */
+struct port_block
+{
+    std::uint16_t next = 0;
+    std::uint16_t end = 0;
+    pid_t owner = 0;
+};
+
+bool try_bind(int fd, const std::string& ip, std::uint16_t port)
+{
+    const sockaddr_in address = socket_address({ip, port}).value_or(sockaddr_in{});
+    return ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0; // NOLINT
+}
 
 bool is_free(const std::string& ip, std::uint16_t port)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = socket_address({ip, port}).value_or(sockaddr_in{});
-    const bool bound =
-        ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0; // NOLINT
+    const bool bound = try_bind(fd, ip, port);
     ::close(fd);
     return bound;
 }
 
+/** The block is held by a socket that stays open, so until this process ends. */
+port_block claim_block()
+{
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<int> draw(0, (last_port - first_port) / block_ports - 1);
+    for (int i = 0; i < most_tries; ++i)
+    {
+        const auto first = static_cast<std::uint16_t>(first_port + draw(random) * block_ports);
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (try_bind(fd, lock_ip, first))
+        {
+            return {.next = first,
+                    .end = static_cast<std::uint16_t>(first + block_ports),
+                    .owner = ::getpid()};
+        }
+        ::close(fd);
+    }
+    throw std::runtime_error("no free block of ports");
+}
+
 } // namespace
 
 std::uint16_t free_port(const std::string& ip)
 {
-    // Rigs that run side by side must not draw the same ports.
-    static std::mt19937 random{std::random_device{}()};
-    static std::set<std::uint16_t> given;
-    std::uniform_int_distribution<std::uint16_t> draw(first_port, last_port);
-    for (int i = 0; i < most_tries; ++i)
+    static port_block block;
+    while (true)
     {
-        const std::uint16_t port = draw(random);
-        // A program that was given one may not listen yet.
-        if (!given.contains(port) && is_free(ip, port))
+        if (block.next == block.end || block.owner != ::getpid())
+        {
+            block = claim_block();
+        }
+        const std::uint16_t port = block.next++;
+        if (is_free(ip, port))
         {
-            given.insert(port);
             return port;
         }
     }
-    throw std::runtime_error("no free port");
 }
 
 } // namespace sardinepoint::rig
--- a/test/soak-test.cpp
+++ b/test/soak-test.cpp
@@ -4,6 +4,10 @@
 #include "rig/free_port.hpp"
 #include "rig/soak.hpp"
 
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
 #include <cstdint>
 #include <set>
 #include <vector>
@@ -53,6 +57,46 @@
     BOOST_TEST(given.size() == ports);
 }
 
+// Guards against rigs of two test programs that are given one port, as neither listens yet.
+BOOST_AUTO_TEST_CASE(ports_of_two_rigs_differ)
+{
+    constexpr std::size_t ports = 500;
+    std::array<int, 2> done{};
+    std::array<int, 2> drawn{};
+    BOOST_REQUIRE(::pipe(done.data()) == 0 && ::pipe(drawn.data()) == 0);
+    const pid_t other = ::fork();
+    BOOST_REQUIRE(other >= 0);
+    if (other == 0)
+    {
+        ::close(done[1]);
+        for (std::size_t i = 0; i < ports; ++i)
+        {
+            const std::uint16_t port = rig::free_port("127.0.0.1");
+            if (::write(drawn[1], &port, sizeof port) != sizeof port)
+            {
+                ::_exit(1);
+            }
+        }
+        // Its ports are taken until this program has drawn its own.
+        char end = 0;
+        ::_exit(::read(done[0], &end, 1) == 0 ? 0 : 1);
+    }
+    ::close(done[0]);
+    std::set<std::uint16_t> given;
+    for (std::size_t i = 0; i < ports; ++i)
+    {
+        std::uint16_t port = 0;
+        BOOST_REQUIRE(::read(drawn[0], &port, sizeof port) == sizeof port);
+        given.insert(port);
+        given.insert(rig::free_port("127.0.0.1"));
+    }
+    ::close(done[1]);
+    int status = 1;
+    BOOST_TEST(::waitpid(other, &status, 0) == other);
+    BOOST_TEST(status == 0);
+    BOOST_TEST(given.size() == 2 * ports);
+}
+
 // Guards the promises to callers and upstreams while faults of all kinds overlap.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
