Keep the slot of a call that was given up for 20 ms

An upstream ran one call more than it has slots, once in a while under overload (upstream-test/spill_of_an_overloaded_domain_is_bounded, over_slots).

Cause: when a call's time was up while it ran, the daemon closed the connection and gave the slot to the next call at once; the upstream may read that call before it notices the close. Each failing run has calls that ended as unknown.

Now such a slot, and that of a call whose caller left, is given back 20 ms later, and counts as used if the upstream is announced anew meanwhile.

--- a/src/local_hop.cpp
+++ b/src/local_hop.cpp
@@ -23,6 +23,8 @@
 // Several times the delay of a broadcast through a failure domain.
 constexpr time_ms crash_spread_ms = 100;
 constexpr time_ms upstream_connect_timeout_ms = 500;
+// An upstream works on a call that was given up until it notices that the connection is closed.
+constexpr time_ms given_up_slot_ms = 20;
 
 int in_flight_of(const node& self, const std::string& upstream)
 {
@@ -49,15 +51,14 @@
 
 void start_on_upstream(node& self, hop_call& hop);
 
-void free_slot(node& self, const hop_call& hop)
+void free_slot(node& self, const std::string& upstream, time_ms held)
 {
-    const auto found = self.upstreams.find(hop.upstream);
-    if (!hop.holds_slot || found == self.upstreams.end())
+    const auto found = self.upstreams.find(upstream);
+    if (found == self.upstreams.end())
     {
         return;
     }
-    const time_ms now = steady_now();
-    const auto next = release_slot(found->second.slots, now - hop.started, now);
+    const auto next = release_slot(found->second.slots, held, steady_now());
     if (!next)
     {
         return;
@@ -69,6 +70,31 @@
     }
 }
 
+/** Gives back the call's slot, later if the upstream may still be at work. */
+void end_slot(node& self, const hop_call& hop, run_outcome outcome)
+{
+    if (!hop.holds_slot)
+    {
+        return;
+    }
+    const time_ms held = steady_now() - hop.started;
+    if (outcome != run_outcome::unknown)
+    {
+        free_slot(self, hop.upstream, held);
+        return;
+    }
+    self.given_up_slots[hop.upstream] += 1;
+    run_after(*self.loop, given_up_slot_ms,
+              [&self, upstream = hop.upstream, held]
+              {
+                  if (--self.given_up_slots[upstream] == 0)
+                  {
+                      self.given_up_slots.erase(upstream);
+                  }
+                  free_slot(self, upstream, held);
+              });
+}
+
 /** Ends a call; the callback runs after the slot is free. */
 void finish(node& self, std::uint64_t id, hop_result result)
 {
@@ -77,7 +103,7 @@
     {
         return;
     }
-    free_slot(self, *hop);
+    end_slot(self, *hop, result.outcome);
     result.in_flight = in_flight_of(self, hop->upstream);
     hop->done(std::move(result));
 }
@@ -293,16 +319,18 @@
     {
         cancel_waiting(found->second.slots, id);
     }
-    free_slot(self, *hop);
+    end_slot(self, *hop, run_outcome::unknown);
 }
 
-int running_hops(const node& self, std::string_view upstream)
+int running_hops(const node& self, const std::string& upstream)
 {
-    return static_cast<int>(std::count_if(self.hops.begin(), self.hops.end(),
-                                          [upstream](const auto& entry) {
-                                              return entry.second->holds_slot &&
-                                                     entry.second->upstream == upstream;
-                                          }));
+    const auto running =
+        std::count_if(self.hops.begin(), self.hops.end(),
+                      [&](const auto& entry)
+                      { return entry.second->holds_slot && entry.second->upstream == upstream; });
+    const auto given_up = self.given_up_slots.find(upstream);
+    return static_cast<int>(running) +
+           (given_up == self.given_up_slots.end() ? 0 : given_up->second);
 }
 
 void expire_waiting_hops(node& self)
--- a/src/local_hop.hpp
+++ b/src/local_hop.hpp
@@ -57,7 +57,7 @@
 void cancel_local(node& self, std::uint64_t hop);
 
 /** Number of calls that run on an upstream, which may have been announced anew meanwhile. */
-int running_hops(const node& self, std::string_view upstream);
+int running_hops(const node& self, const std::string& upstream);
 
 /** Refuses calls that waited too long for a slot. */
 void expire_waiting_hops(node& self);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -215,6 +215,8 @@
     retry_budget retries;
     std::unordered_map<std::uint64_t, std::unique_ptr<ingress_call>> calls;
     std::unordered_map<std::uint64_t, std::unique_ptr<hop_call>> hops;
+    /** Slots by upstream that calls which were given up hold for a moment. */
+    std::map<std::string, int> given_up_slots;
     std::uint64_t last_hop = 0;
 
     std::unique_ptr<move_runtime> moves;
