Refuse base64 with a digit that holds no byte; tests of packed texts

A character behind the last whole group was not looked at, so damage there went unnoticed. Found by the new packed-text-test, whose case base64_is_the_usual_one failed before; the other cases passed.

--- a/src/packed_text.cpp
+++ b/src/packed_text.cpp
@@ -50,6 +50,11 @@
         text.remove_suffix(1);
     }
     const std::size_t length = text.size() * digit_bits / byte_bits;
+    // One digit of a group holds no whole byte, so it would not be looked at.
+    if (text.size() % digits_per_group == 1)
+    {
+        return std::nullopt;
+    }
     std::string bytes;
     bytes.reserve(length);
     try
