Check the services of a patch's routes like those of whole configurations

A patch could split a route over services that don't exist: callers of that route got no upstream for a part of their calls. A split route without a service of its own was refused instead ('unknown service ''').

One function serves both now, and copies no list of targets for each route.

Tests in fold-test, both failed before: a split over an unknown service in bad_patch_is_rejected_whole, split_route_needs_no_service_of_its_own.

--- a/include/sardinepoint/config.hpp
+++ b/include/sardinepoint/config.hpp
@@ -251,8 +251,9 @@
 std::string dump_whole_config(const whole_config& config);
 std::string dump_order(const move_order& order);
 
-/** Whether each route has a usable prefix and leads to services that the configuration names. */
-bool check_whole_config(const whole_config& config, error& reason);
+/** Whether each route has a usable prefix and time limit and leads to services that are there. */
+bool check_routes(const std::map<std::string, route>& routes,
+                  const std::map<std::string, service_config>& services, error& reason);
 
 /** The steps from the state to the configuration, and the state after them. */
 config_delta make_delta(const config_state& state, const whole_config& next);
--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -186,21 +186,6 @@
     }
 };
 
-bool check_references(const config_state& state, error& reason)
-{
-    for (const auto& [name, value] : state.routes)
-    {
-        if (!state.services.contains(value.service))
-        {
-            reason = {error_kind::unknown_service,
-                      "route '" + name + "' names the unknown service '" + value.service + "'",
-                      "add the service in the same patch or correct the name"};
-            return false;
-        }
-    }
-    return true;
-}
-
 void remember_patch(config_state& state, const patch& change, std::uint64_t offset,
                     const error& reason)
 {
@@ -320,8 +305,9 @@
 fold_result fold_published(config_state& state, whole_config next)
 {
     error reason;
-    return check_whole_config(next, reason) ? fold_whole_config(state, std::move(next))
-                                            : fold_result{.reason = reason};
+    return check_routes(next.routes, next.services, reason)
+               ? fold_whole_config(state, std::move(next))
+               : fold_result{.reason = reason};
 }
 
 fold_result fold_whole_text(config_state& state, const log_record& record)
@@ -478,7 +464,7 @@
             return std::nullopt;
         }
     }
-    if (!check_references(next, reason))
+    if (!check_routes(next.routes, next.services, reason))
     {
         return std::nullopt;
     }
--- a/src/whole_config.cpp
+++ b/src/whole_config.cpp
@@ -30,24 +30,27 @@
 // An outcome is final once it is published, so nothing is left to watch.
 constexpr time_ms order_watch_ms = 0;
 
-/** The services of a route with their weights; a route without a split has one. */
-std::vector<split_target> targets_of(const route& value)
+bool check_target(const route& value, std::string_view service,
+                  const std::map<std::string, service_config>& services, error& reason)
 {
-    return value.split.empty() ? std::vector<split_target>{{.service = value.service, .weight = 1}}
-                               : value.split;
+    if (services.contains(std::string(service)))
+    {
+        return true;
+    }
+    reason = {error_kind::unknown_service,
+              "route '" + value.name + "' names the unknown service '" + std::string(service) + "'",
+              "add the service in the same change or correct the name"};
+    return false;
 }
 
-bool check_targets(const whole_config& config, const route& value, error& reason)
+bool check_split(const route& value, const std::map<std::string, service_config>& services,
+                 error& reason)
 {
     double sum = 0;
-    for (const split_target& target : targets_of(value))
+    for (const split_target& target : value.split)
     {
-        if (!config.services.contains(target.service))
+        if (!check_target(value, target.service, services, reason))
         {
-            reason = {error_kind::unknown_service,
-                      "route '" + value.name + "' names the unknown service '" + target.service +
-                          "'",
-                      "name a service of the same configuration"};
             return false;
         }
         if (!(target.weight >= 0))
@@ -101,9 +104,10 @@
         .dump();
 }
 
-bool check_whole_config(const whole_config& config, error& reason)
+bool check_routes(const std::map<std::string, route>& routes,
+                  const std::map<std::string, service_config>& services, error& reason)
 {
-    for (const auto& [name, value] : config.routes)
+    for (const auto& [name, value] : routes)
     {
         if (!value.prefix.starts_with('/'))
         {
@@ -116,7 +120,10 @@
             reason = {kind, "route '" + name + "' has no timeout above 0", "give it a timeout"};
             return false;
         }
-        if (!check_targets(config, value, reason))
+        const bool known = value.split.empty()
+                               ? check_target(value, value.service, services, reason)
+                               : check_split(value, services, reason);
+        if (!known)
         {
             return false;
         }
--- a/test/fold-test.cpp
+++ b/test/fold-test.cpp
@@ -73,6 +73,9 @@
      "'colour'"},
     {R"([{"op":"put_route","name":"a","prefix":"/a","service":"duty-board","timeout_ms":"5"}])",
      "'timeout_ms'"},
+    {R"([{"op":"put_route","name":"a","prefix":"/a","service":"duty-board",)"
+     R"("split":[{"service":"duty-board","weight":1},{"service":"nobody","weight":1}]}])",
+     "nobody"},
     {R"([{"op":"put_service","name":"x","versions":{"v1":101}}])", "'versions'"},
     {R"([{"op":"put_service","name":"x","versions":{"v1":"all"}}])", "'versions'"},
     {R"([{"op":"put_service","name":"x","versions":{"v1":60,"v2":30}}])", "sum 90"},
@@ -125,6 +128,18 @@
     BOOST_TEST(state.next_offset == 2U);
 }
 
+// Guards against a route that is split over known services and refused for its missing service.
+BOOST_AUTO_TEST_CASE(split_route_needs_no_service_of_its_own)
+{
+    config_state state;
+    fold_next(state, make_patch("p1", 0, service_ops));
+    const fold_result result =
+        fold_next(state, make_patch("p2", 1,
+                                    R"([{"op":"put_route","name":"a","prefix":"/a",)"
+                                    R"("split":[{"service":"duty-board","weight":1}]}])"));
+    BOOST_TEST((result.kind == fold_kind::patch_accepted), result.reason.message);
+}
+
 BOOST_AUTO_TEST_CASE(second_of_two_racing_patches_is_stale)
 {
     config_state state;
