Count a call's time from its arrival and not from when it is read

Callers saw: answers later than their route's time, by as much as the daemon was behind. A request that waits unread behind a backlog got its route's whole time again when it was read, and once more at the daemon beside the upstream, which told the upstream more time than the caller had left.

The event loop knows since when a ready descriptor may have been ready: since the end of the wait before, or since the last one that left nothing for the next. Requests carry that time. What is over at the second daemon is refused as not run. unread_us in the line of a call and two histograms tell the wait.

--- a/include/sardinepoint/event_loop.hpp
+++ b/include/sardinepoint/event_loop.hpp
@@ -95,6 +95,12 @@
  */
 void on_round(event_loop& loop, std::function<void(std::int64_t busy_us)> callback);
 
+/**
+ * Earliest time at which the descriptors that are being served may have become ready, steady,
+ * microseconds. It lies back by as much as the loop is behind.
+ */
+std::int64_t ready_since_us(const event_loop& loop);
+
 /** Wall clock, milliseconds since the Unix epoch. */
 time_ms wall_now();
 
--- a/include/sardinepoint/http.hpp
+++ b/include/sardinepoint/http.hpp
@@ -2,6 +2,7 @@
 
 #include "sardinepoint/core.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -24,6 +25,8 @@
     std::string target;
     std::vector<http_header> headers;
     std::string body;
+    /** Earliest time at which it may have arrived, steady, microseconds; 0 if that isn't known. */
+    std::int64_t arrived_us = 0;
 };
 
 struct http_response
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -35,6 +35,10 @@
 // only if these took longer last time, so that others get half of the time at least.
 constexpr std::int64_t urgent_interval_us = 5000;
 
+// A wait that ends sooner found descriptors that had become ready before it.
+constexpr std::int64_t no_wait_us = 1000;
+constexpr std::int64_t us_per_ms = 1000;
+
 ACE_Time_Value to_time_value(time_ms duration)
 {
     constexpr time_ms ms_per_second = 1000;
@@ -124,6 +128,10 @@
     std::int64_t urgent_pause_us = 0;
     /** Set by the event of the urgent descriptors among the others. */
     bool urgent_ready = false;
+    /** End of the last wait, and whether it may have left ready descriptors for the next one. */
+    std::int64_t woken_us = 0;
+    bool more_ready = false;
+    std::int64_t ready_since_us = 0;
     ACE_Timer_Heap timer_queue;
     ACE_Sig_Handler signals;
     std::unordered_map<std::uint64_t, timer_entry> timers;
@@ -152,7 +160,6 @@
     {
         return longest;
     }
-    constexpr std::int64_t us_per_ms = 1000;
     ACE_Time_Value left = loop.timer_queue.earliest_time() - monotonic_time();
     ACE_UINT64 left_us = 0;
     if (left <= ACE_Time_Value::zero)
@@ -201,12 +208,34 @@
     loop.urgent_pause_us = std::max(urgent_interval_us, loop.urgent_served_us - begun_us);
 }
 
+/** Notes since when descriptors may have been ready that a wait of at most `wait` has found. */
+void note_wait(event_loop& loop, std::int64_t asked_us, std::int64_t woken_us, time_ms wait,
+               bool more_ready)
+{
+    const std::int64_t waited_us = woken_us - asked_us;
+    if (!loop.more_ready)
+    {
+        // One that lasts longer than it was asked to found the process without processor time.
+        const bool overslept = waited_us > wait * us_per_ms + no_wait_us;
+        loop.ready_since_us = overslept ? asked_us : woken_us;
+        if (waited_us < no_wait_us && loop.woken_us > 0)
+        {
+            loop.ready_since_us = loop.woken_us;
+        }
+    }
+    loop.more_ready = more_ready;
+    loop.woken_us = woken_us;
+}
+
 /** Waits for events and serves them; returns when the wait ended. */
 std::int64_t poll_descriptors(event_loop& loop, time_ms wait)
 {
     std::array<epoll_event, most_events> events{};
+    const std::int64_t asked_us = steady_now_us();
     const int count = ::epoll_wait(loop.epoll, events.data(), most_events, static_cast<int>(wait));
     const std::int64_t woken_us = steady_now_us();
+    // A wait that a signal ended has found nothing yet.
+    note_wait(loop, asked_us, woken_us, wait, count < 0 || count == most_events);
     loop.urgent_served_us = woken_us;
     loop.urgent_ready = false;
     bool urgent_served = false;
@@ -409,6 +438,11 @@
     loop.round_callback = std::move(callback);
 }
 
+std::int64_t ready_since_us(const event_loop& loop)
+{
+    return loop.ready_since_us;
+}
+
 time_ms wall_now()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -19,6 +19,9 @@
 constexpr time_ms crash_probe_timeout_ms = 200;
 // The upstream's own refusal at the deadline arrives before the caller's daemon gives up.
 constexpr time_ms answer_margin_ms = 5;
+constexpr double seconds_per_us = 1e-6;
+constexpr std::int64_t us_per_ms = 1000;
+
 inbound_call* find_inbound(node& self, std::uint64_t id)
 {
     const auto found = self.side->inbound.find(id);
@@ -284,6 +287,15 @@
     return std::nullopt;
 }
 
+/** Takes the time that the request has waited unread from the call's time. */
+void note_unread(node& self, const http_request& request, hop_terms& terms)
+{
+    const std::int64_t unread_us = steady_now_us() - request.arrived_us;
+    observe(self.stats, "inbound_unread_seconds", static_cast<double>(unread_us) * seconds_per_us);
+    terms.time_left -= unread_us / us_per_ms;
+    terms.goal_left = std::max<time_ms>(terms.goal_left - unread_us / us_per_ms, 0);
+}
+
 } // namespace
 
 queue_report report_queue(const node& self)
@@ -318,6 +330,11 @@
         finish(self, std::move(created), gone(*refusal));
         return id;
     }
+    if (call.terms.time_left <= 0)
+    {
+        finish(self, std::move(created), not_run("the call's time was over before it was read"));
+        return id;
+    }
     if (is_quarantined(self.quarantine, call.fingerprint, wall_now()))
     {
         finish(self, std::move(created), not_run("the request is quarantined: it ended upstreams"));
@@ -378,6 +395,7 @@
                                         "send calls to the outbound listener"}));
         return;
     }
+    note_unread(self, request, *terms);
     const std::uint64_t inbound =
         run_inbound(self, std::move(request), std::move(*terms),
                     [&self, id](inbound_result result)
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -30,6 +30,7 @@
 constexpr time_ms hop_time_ms = 8;
 constexpr int first_server_error = 500;
 constexpr double seconds_per_us = 1e-6;
+constexpr std::int64_t us_per_ms = 1000;
 
 // Bounds on the Retry-After of a refusal.
 constexpr time_ms least_retry_after_ms = 40;
@@ -78,6 +79,7 @@
                {"expected_wait_ms", call.expected_wait},
                {"report_age_ms", call.report_age},
                {"config", self.config_replica.state.version},
+               {"unread_us", call.read_us - call.arrived_us},
                {"us", elapsed_us},
                {"reason", reason}});
     send_reply(*self.side->outbound_server, call.id, std::move(response));
@@ -438,7 +440,7 @@
 }
 
 /** When the answer is worth most. For the caller its time counts from its first attempt. */
-time_ms goal_of(node& self, const outbound_call& call, time_ms goal, time_ms now)
+time_ms goal_of(node& self, const outbound_call& call, time_ms goal, time_ms arrived)
 {
     if (goal <= 0)
     {
@@ -447,9 +449,9 @@
     // Upstreams give a call that they make what the run it is for has left.
     if (call.priority == 0 || !call.caller.time_left)
     {
-        return now + goal;
+        return arrived + goal;
     }
-    return now + goal - time_since_first(self.side->told[call.route], *call.caller.time_left);
+    return arrived + goal - time_since_first(self.side->told[call.route], *call.caller.time_left);
 }
 
 /** Sets the route and limits; answers the call if it can't be run. */
@@ -457,7 +459,8 @@
 {
     const std::uint64_t id = call.id.value;
     const replica& config = self.config_replica;
-    call.deadline = steady_now() + call.caller.time_left.value_or(default_time_ms);
+    const time_ms arrived = call.arrived_us / us_per_ms;
+    call.deadline = arrived + call.caller.time_left.value_or(default_time_ms);
     if (!config.ready || config.state.version == 0)
     {
         refuse(self, id,
@@ -499,10 +502,9 @@
     // Routes of the highest rank are what upstreams call while they run.
     call.for_priority = matched->priority == 0 ? least_running_priority(self) : matched->priority;
     call.max_attempts = matched->max_attempts;
-    const time_ms now = steady_now();
     call.deadline =
-        now + std::min(call.caller.time_left.value_or(matched->timeout), matched->timeout);
-    call.goal_at = goal_of(self, call, matched->goal, now);
+        arrived + std::min(call.caller.time_left.value_or(matched->timeout), matched->timeout);
+    call.goal_at = goal_of(self, call, matched->goal, arrived);
     return true;
 }
 
@@ -514,11 +516,14 @@
     outbound_call& call = *created;
     call.id = id;
     call.caller = self.side->dialect->read_caller(request.headers);
+    call.read_us = steady_now_us();
+    call.arrived_us = request.arrived_us > 0 ? request.arrived_us : call.read_us;
     call.request = std::move(request);
-    call.arrived_us = steady_now_us();
     call.fingerprint =
         request_fingerprint(call.request.method, path_of(call.request.target), call.request.body);
     self.side->outbound[id.value] = std::move(created);
+    observe(self.stats, "outbound_unread_seconds",
+            static_cast<double>(call.read_us - call.arrived_us) * seconds_per_us);
     if (!prepare_call(self, call))
     {
         return;
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -79,6 +79,11 @@
     bool lingering = false;
     time_ms request_started = 0;
     time_ms last_activity = 0;
+    /** When it was accepted, and the earliest time at which it may have waited for that. */
+    std::int64_t accepted_us = 0;
+    std::int64_t opened_since_us = 0;
+    /** Earliest time at which the last input may have arrived. */
+    std::int64_t input_since_us = 0;
 };
 
 } // namespace
@@ -343,6 +348,7 @@
 {
     const bool keep_alive = connection.parser->keep_alive();
     http_request request = take_request(*connection.parser);
+    request.arrived_us = connection.input_since_us;
     connection.parser.reset();
     const std::uint64_t id = ++server.last_id;
     connection.exchanges.push_back(
@@ -412,6 +418,15 @@
     return again ? read_state::nothing : read_state::closed;
 }
 
+/** Notes since when the input that is read now may have waited. */
+void note_input(const pipelined_server& server, caller_connection& connection)
+{
+    const std::int64_t since_us = ready_since_us(*server.loop);
+    // Input that was there at the first look after the acceptance may have come before that.
+    const bool since_opening = since_us <= connection.accepted_us;
+    connection.input_since_us = since_opening ? connection.opened_since_us : since_us;
+}
+
 void handle_event(pipelined_server& server, std::uint64_t id, io_interest ready)
 {
     caller_connection* connection = find_connection(server, id);
@@ -423,6 +438,7 @@
     {
         // A caller that shuts down its sending side has left as well: none waits for an answer
         // behind that.
+        note_input(server, *connection);
         const read_state state = read_input(*connection);
         if (state == read_state::closed)
         {
@@ -456,6 +472,8 @@
     auto created = std::make_unique<caller_connection>();
     created->id = ++server.last_connection;
     created->fd = fd;
+    created->accepted_us = steady_now_us();
+    created->opened_since_us = ready_since_us(*server.loop);
     created->last_activity = steady_now();
     caller_connection& connection = *created;
     server.connections[connection.id] = std::move(created);
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -12,10 +12,13 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace sardinepoint;
@@ -176,6 +179,36 @@
     test.answer(0, "late");
 }
 
+// Guards against calls whose time begins when they are read, after a wait behind a backlog.
+BOOST_AUTO_TEST_CASE(request_tells_since_when_it_may_have_waited)
+{
+    constexpr std::chrono::milliseconds unread{300};
+    constexpr std::int64_t tolerance_us = 20'000;
+    served_caller test;
+    rig::run_for(*test.loop, 1);
+    for (const char* path : {"/on-a-new-connection", "/on-a-known-one"})
+    {
+        const std::int64_t sent_us = steady_now_us();
+        test.send(get(path));
+        std::this_thread::sleep_for(unread);
+        BOOST_REQUIRE(test.run_until([&] { return !test.requests.empty(); }));
+        BOOST_TEST(test.requests.back().second.arrived_us <= sent_us);
+        BOOST_TEST(test.requests.back().second.arrived_us >= sent_us - tolerance_us);
+        test.requests.clear();
+    }
+    // A loop that waits for input is in time.
+    constexpr time_ms later_ms = 100;
+    std::int64_t sent_us = 0;
+    run_after(*test.loop, later_ms,
+              [&]
+              {
+                  sent_us = steady_now_us();
+                  test.send(get("/in-time"));
+              });
+    BOOST_REQUIRE(test.run_until([&] { return !test.requests.empty(); }));
+    BOOST_TEST(test.requests.back().second.arrived_us >= sent_us - tolerance_us);
+}
+
 // Guards against the answer to a call being dropped while one before it is cancelled by a close.
 BOOST_AUTO_TEST_CASE(body_in_chunks_arrives_whole)
 {
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -467,6 +467,82 @@
 namespace
 {
 
+/** Daemons that get no processor time for a while; what callers send meanwhile waits unread. */
+struct paused_boards : three_boards
+{
+    static constexpr time_ms paused_ms = 700;
+
+    /** Lets a daemon run again after the time. */
+    void pause(const rig::fleet_daemon& daemon)
+    {
+        daemon.run->signal(SIGSTOP);
+        this->run_for(paused_ms);
+        daemon.run->signal(SIGCONT);
+    }
+};
+
+} // namespace
+
+// Guards against answers that come later than their route's time because its daemon counted that
+// time from the moment at which it read the call.
+BOOST_FIXTURE_TEST_CASE(call_that_waited_unread_ends_at_its_routes_time, paused_boards)
+{
+    constexpr time_ms timeout_ms = 800;
+    constexpr time_ms late_ms = 500;
+    constexpr time_ms applied_ms = 1000;
+    this->route_timeout = timeout_ms;
+    this->publish(2, {"board"});
+    this->run_for(applied_ms);
+    for (const auto& daemon : this->daemons)
+    {
+        daemon->upstream->work = start_limit_ms;
+    }
+    const time_ms sent_at = steady_now();
+    std::optional<http_result> answer;
+    this->start_call(this->daemon(0), {.deadline = start_limit_ms},
+                     [&](http_result value) { answer = std::move(value); });
+    this->pause(this->daemon(0));
+    BOOST_REQUIRE(this->run_until(start_limit_ms, [&] { return answer.has_value(); }));
+    BOOST_TEST(steady_now() - sent_at <= timeout_ms + late_ms);
+    // It may have run.
+    BOOST_TEST(answer->response.status >= 502);
+}
+
+// Guards against upstreams that are told more time than a call has left: the daemon beside them
+// counted it from the moment at which it read the call.
+BOOST_FIXTURE_TEST_CASE(time_unread_at_the_second_daemon_counts, paused_boards)
+{
+    constexpr time_ms deadline_ms = 1900;
+    constexpr time_ms reserve_ms = 50;
+    constexpr int calls = 12;
+    this->daemon(1).run->signal(SIGSTOP);
+    for (int i = 0; i < calls; ++i)
+    {
+        // Only the first daemon's calls are looked at, which go to all three.
+        this->start_call(this->daemon(0),
+                         {.method = "POST", .path = "/once/board/x", .deadline = deadline_ms},
+                         [](const http_result&) {});
+    }
+    this->pause(this->daemon(1));
+    this->run_for(deadline_ms);
+    int judged = 0;
+    for (const rig::seen_request& request : this->seen)
+    {
+        const auto left = find_header(request.request.headers, "X-Deadline-Ms");
+        BOOST_REQUIRE(left.has_value());
+        if (request.instance == this->daemon(1).upstream->instance)
+        {
+            ++judged;
+            BOOST_TEST(parse_integer(*left).value_or(deadline_ms) <=
+                       deadline_ms - paused_ms + reserve_ms);
+        }
+    }
+    BOOST_TEST(judged > 0);
+}
+
+namespace
+{
+
 constexpr time_ms apply_limit_ms = 2000;
 
 /** So many that the change of their routes is too large to be passed on by peers. */
