Drop the request of a caller that left while it waited unread

Callers saw nothing; upstreams worked for callers that were gone (GONE), and a daemon that was behind spent its time on them.

The end of a connection stands behind the request in the socket, so it was seen one round of the loop after the request had been passed on, half a second later in a daemon without processor time. Now the end is looked for before a request that has waited for 100 ms or longer is taken.

pipelined-server-test/request_of_a_caller_that_left_unread_is_dropped failed before.

--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -38,6 +38,8 @@
 constexpr int listen_backlog = 1024;
 constexpr int most_accepts_per_event = 64;
 constexpr std::size_t read_bytes = 32U << 10U;
+// Callers give up what isn't read for this long; the end of their connection is behind the request.
+constexpr std::int64_t long_unread_us = 100'000;
 constexpr time_ms sweep_interval_ms = 500;
 // How long the rest of a caller's data is read and dropped before a closed connection is released:
 // closing a socket with unread data resets it, and the caller may lose the last answer.
@@ -427,6 +429,17 @@
     connection.input_since_us = since_opening ? connection.opened_since_us : since_us;
 }
 
+/** Whether the caller has closed the connection behind input that has waited for some time. */
+bool has_left(const caller_connection& connection)
+{
+    if (steady_now_us() - connection.input_since_us < long_unread_us)
+    {
+        return false;
+    }
+    char next = 0;
+    return ::recv(connection.fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void handle_event(pipelined_server& server, std::uint64_t id, io_interest ready)
 {
     caller_connection* connection = find_connection(server, id);
@@ -440,7 +453,7 @@
         // behind that.
         note_input(server, *connection);
         const read_state state = read_input(*connection);
-        if (state == read_state::closed)
+        if (state == read_state::closed || has_left(*connection))
         {
             drop_connection(server, id);
             return;
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -209,6 +209,21 @@
     BOOST_TEST(test.requests.back().second.arrived_us >= sent_us - tolerance_us);
 }
 
+// Guards against calls that are begun although their callers left while they waited unread.
+BOOST_AUTO_TEST_CASE(request_of_a_caller_that_left_unread_is_dropped)
+{
+    constexpr std::chrono::milliseconds unread{150};
+    constexpr time_ms read_ms = 50;
+    served_caller test;
+    rig::run_for(*test.loop, 1);
+    test.send(get("/left"));
+    test.hang_up();
+    std::this_thread::sleep_for(unread);
+    rig::run_for(*test.loop, read_ms);
+    BOOST_TEST(test.requests.empty());
+    BOOST_TEST(open_connections(*test.server) == 0U);
+}
+
 // Guards against the answer to a call being dropped while one before it is cancelled by a close.
 BOOST_AUTO_TEST_CASE(body_in_chunks_arrives_whole)
 {
