Keep the shares of splits through changes of the configuration

Callers saw: a route's calls went to its heaviest part alone while changes came in quick succession, whatever its weights.

Cause: each configuration began the credit of all splits anew, and every daemon began with the heaviest part. A daemon of 72 gets four calls of such a route in a second.

Credit stays with a route as long as its split names the same services, also when weights change, and begins at a random place of the order, so that the daemons' first calls are spread by the weights.

sidecar-test/split_keeps_its_weights_in_a_series_of_changes failed before (0 of 72 calls to a part of 25 in 100); placement-test/splits_keep_their_weights_over_ many_daemons and split_goes_on_while_other_routes_change are of new functions. splits_keep_their_weights_in_every_window passes a generator now, its bound is as before.

--- a/include/sardinepoint/route_table.hpp
+++ b/include/sardinepoint/route_table.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,14 +25,25 @@
 /** The route of the host with the longest prefix that begins the path, or null. */
 const route* find_route(const route_table& table, std::string_view host, std::string_view path);
 
+/** Credit that each service of a split has collected; calls go to the richest. */
+struct split_credit
+{
+    std::vector<std::string> services;
+    std::vector<double> credit;
+};
+
 /** Keeps the shares of split routes exact: each target collects credit for each call. */
 struct split_credits
 {
-    std::map<std::string, std::vector<double>, std::less<>> credits;
+    std::map<std::string, split_credit, std::less<>> by_route;
 };
 
-/** The service for the next call of the route. */
-const std::string& next_service(split_credits& credits, const route& matched);
+/** The service for the next call of the route. A split of other services begins anew. */
+const std::string& next_service(split_credits& credits, const route& matched,
+                                std::mt19937_64& random);
+
+/** Forgets the credit of routes that are no longer split. */
+void drop_unsplit(split_credits& credits, const config_state& state);
 
 /** Lets through a part of the calls evenly, not by chance. */
 struct share_credit
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -496,7 +496,7 @@
         return false;
     }
     call.route = matched->name;
-    call.service = next_service(self.side->splits, *matched);
+    call.service = next_service(self.side->splits, *matched, self.random);
     call.idempotent = matched->idempotent.value_or(false);
     call.priority = matched->priority;
     // Routes of the highest rank are what upstreams call while they run.
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -9,11 +9,56 @@
 namespace
 {
 
+// Calls that daemons may be apart in the order of a split. Weights in percent repeat their order
+// after a hundred calls at most.
+constexpr int most_calls_apart = 1000;
+
 std::string_view without_port(std::string_view host)
 {
     return host.substr(0, host.rfind(':'));
 }
 
+bool is_for(const split_credit& credit, const route& matched)
+{
+    return std::equal(credit.services.begin(), credit.services.end(), matched.split.begin(),
+                      matched.split.end(),
+                      [](const std::string& service, const split_target& target)
+                      { return service == target.service; });
+}
+
+/** Position of the target whose turn it is. */
+std::size_t next_target(split_credit& credit, const route& matched)
+{
+    const double sum = std::accumulate(matched.split.begin(), matched.split.end(), 0.0,
+                                       [](double total, const split_target& target)
+                                       { return total + target.weight; });
+    for (std::size_t i = 0; i < credit.credit.size(); ++i)
+    {
+        credit.credit[i] += matched.split[i].weight / sum;
+    }
+    const auto richest = std::max_element(credit.credit.begin(), credit.credit.end());
+    *richest -= 1;
+    return static_cast<std::size_t>(richest - credit.credit.begin());
+}
+
+/**
+ * Begins at a random place of the order: if all daemons began with the heaviest target, the others
+ * would get nothing until each daemon has had some calls.
+ */
+split_credit begin_split(const route& matched, std::mt19937_64& random)
+{
+    split_credit credit{.credit = std::vector<double>(matched.split.size())};
+    for (const split_target& target : matched.split)
+    {
+        credit.services.push_back(target.service);
+    }
+    for (int i = std::uniform_int_distribution(0, most_calls_apart - 1)(random); i > 0; --i)
+    {
+        next_target(credit, matched);
+    }
+    return credit;
+}
+
 } // namespace
 
 route_table make_route_table(const config_state& state)
@@ -52,24 +97,29 @@
     return nullptr;
 }
 
-const std::string& next_service(split_credits& credits, const route& matched)
+const std::string& next_service(split_credits& credits, const route& matched,
+                                std::mt19937_64& random)
 {
     if (matched.split.empty())
     {
         return matched.service;
     }
-    std::vector<double>& credit = credits.credits[matched.name];
-    credit.resize(matched.split.size());
-    const double sum = std::accumulate(matched.split.begin(), matched.split.end(), 0.0,
-                                       [](double total, const split_target& target)
-                                       { return total + target.weight; });
-    for (std::size_t i = 0; i < credit.size(); ++i)
+    auto found = credits.by_route.find(matched.name);
+    if (found == credits.by_route.end() || !is_for(found->second, matched))
     {
-        credit[i] += matched.split[i].weight / sum;
+        found = credits.by_route.insert_or_assign(matched.name, begin_split(matched, random)).first;
     }
-    const auto richest = std::max_element(credit.begin(), credit.end());
-    *richest -= 1;
-    return matched.split[static_cast<std::size_t>(richest - credit.begin())].service;
+    return matched.split[next_target(found->second, matched)].service;
+}
+
+void drop_unsplit(split_credits& credits, const config_state& state)
+{
+    std::erase_if(credits.by_route,
+                  [&](const auto& entry)
+                  {
+                      const auto found = state.routes.find(entry.first);
+                      return found == state.routes.end() || found->second.split.empty();
+                  });
 }
 
 bool next_in_share(share_credit& share, double percent)
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -190,7 +190,7 @@
 void refresh_routes(node& self)
 {
     self.side->routes = make_route_table(self.config_replica.state);
-    self.side->splits.credits.clear();
+    drop_unsplit(self.side->splits, self.config_replica.state);
     set_limits(*self.side->outbound_server, self.config_replica.state.limits);
 }
 
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -62,6 +62,7 @@
     }
     self.seen.push_back({.id = call,
                          .instance = upstream.instance,
+                         .service = upstream.service,
                          .version = upstream.version,
                          .request = std::move(request),
                          .at = steady_now()});
@@ -269,6 +270,16 @@
         paths.push_back(route_json("once-" + service, "/once/" + service + "/", "non_idempotent",
                                    service, this->route_timeout));
     }
+    if (!this->split.empty())
+    {
+        json route = route_json("split", "/split/", "idempotent", "", this->route_timeout);
+        route.erase("Service");
+        for (const auto& [service, weight] : this->split)
+        {
+            route["Split"].push_back({{"Service", service}, {"Weight", weight}});
+        }
+        paths.push_back(std::move(route));
+    }
     constexpr const char* digits = "0123456789abcdef";
     const std::string number = std::string(7, '0') + digits[version % 16];
     const json body{{"Version", number},
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +27,7 @@
 {
     std::string id;
     std::string instance;
+    std::string service;
     std::string version;
     http_request request;
     time_ms at = 0;
@@ -95,6 +97,8 @@
     bool keep_files = false;
     /** Timeout of the routes that are published from now on. */
     time_ms route_timeout = 2000;
+    /** Services and weights of the route "/split/", published from now on if there are any. */
+    std::map<std::string, int> split;
 
     fleet(std::string build_dir, std::string_view name);
     ~fleet();
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE placement
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "sardinepoint/placement.hpp"
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -162,15 +164,78 @@
 BOOST_AUTO_TEST_CASE(splits_keep_their_weights_in_every_window)
 {
     split_credits credits;
+    std::mt19937_64 random{3};
     const route split{.name = "r", .split = {{"a", 90}, {"b", 10}}};
     int to_b = 0;
     for (int i = 1; i <= 200; ++i)
     {
-        to_b += next_service(credits, split) == "b" ? 1 : 0;
+        to_b += next_service(credits, split, random) == "b" ? 1 : 0;
         BOOST_TEST(std::abs(to_b - i / 10) <= 1);
     }
 }
 
+namespace
+{
+
+/** Share of the second service when each of many daemons gets a call now and then. */
+double share_of_second(const route& split, int calls_per_daemon, std::mt19937_64& random)
+{
+    constexpr int daemons = 72;
+    int to_second = 0;
+    for (int daemon = 0; daemon < daemons; ++daemon)
+    {
+        split_credits credits;
+        for (int i = 0; i < calls_per_daemon; ++i)
+        {
+            to_second += next_service(credits, split, random) == split.split[1].service ? 1 : 0;
+        }
+    }
+    return static_cast<double>(to_second) / (daemons * calls_per_daemon);
+}
+
+} // namespace
+
+// Guards against daemons that all begin a split with its heaviest part: where each gets only some
+// calls, the other parts got none.
+BOOST_DATA_TEST_CASE(splits_keep_their_weights_over_many_daemons,
+                     boost::unit_test::data::make({10.0, 25.0, 40.0, 50.0}) *
+                         boost::unit_test::data::make({3, 5}),
+                     weight, calls)
+{
+    constexpr double tolerated = 0.1;
+    std::mt19937_64 random{11};
+    const route split{.name = "r", .split = {{"a", 100 - weight}, {"b", weight}}};
+    // 200 calls or more.
+    BOOST_TEST(std::abs(share_of_second(split, calls, random) - weight / 100) < tolerated);
+}
+
+// Guards against a series of changes that begins the shares of a split anew each time.
+BOOST_AUTO_TEST_CASE(split_goes_on_while_other_routes_change)
+{
+    std::mt19937_64 random{5};
+    split_credits credits;
+    config_state state;
+    state.routes["r"] = {.name = "r", .split = {{"a", 75}, {"b", 25}}};
+    int to_b = 0;
+    for (int change = 1; change <= 200; ++change)
+    {
+        state.routes["added-" + std::to_string(change)] = {.service = "a"};
+        drop_unsplit(credits, state);
+        to_b += next_service(credits, state.routes["r"], random) == "b" ? 1 : 0;
+        BOOST_TEST(std::abs(to_b - change / 4) <= 1);
+    }
+    // Other weights begin nothing anew, other services do.
+    state.routes["r"].split = {{"a", 50}, {"b", 50}};
+    drop_unsplit(credits, state);
+    BOOST_TEST(credits.by_route.size() == 1U);
+    state.routes["r"].split = {{"a", 50}, {"c", 50}};
+    const std::string next = next_service(credits, state.routes["r"], random);
+    BOOST_TEST((next == "a" || next == "c"));
+    state.routes.erase("r");
+    drop_unsplit(credits, state);
+    BOOST_TEST(credits.by_route.empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_matches)
 {
     config_state state;
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -464,6 +464,53 @@
     BOOST_TEST(this->store.writes_of("keyed.status", "rollout/board") <= 2);
 }
 
+// Guards against a series of changes that begins the shares of a split anew with each of them: the
+// first call of each daemon after a change went to the heaviest part.
+BOOST_AUTO_TEST_CASE(split_keeps_its_weights_in_a_series_of_changes)
+{
+    constexpr int daemon_count = 6;
+    constexpr int changes = 12;
+    constexpr int percent_to_desk = 25;
+    constexpr int tolerated_percent = 20;
+    constexpr time_ms taken_ms = 2000;
+    rig::fleet fleet(SARDINEPOINT_BIN_DIR, "sidecar-split");
+    fleet.split = {{"board", 100 - percent_to_desk}, {"desk", percent_to_desk}};
+    fleet.publish(1, {"board", "desk"});
+    for (int i = 0; i < daemon_count; ++i)
+    {
+        fleet.add(i % 2 == 0 ? "board" : "desk");
+    }
+    BOOST_REQUIRE(fleet.wait_served("board", start_limit_ms));
+    BOOST_REQUIRE(fleet.wait_members(daemon_count, start_limit_ms));
+    int calls = 0;
+    int to_desk = 0;
+    for (int change = 1; change <= changes; ++change)
+    {
+        const std::string added = "added-" + std::to_string(change);
+        fleet.publish(change + 1, {"board", "desk", added});
+        for (const auto& daemon : fleet.daemons)
+        {
+            BOOST_REQUIRE(fleet.run_until(
+                taken_ms,
+                [&] {
+                    return fleet.call(*daemon, {.path = "/" + added + "/"}).response.status != 404;
+                }));
+        }
+        fleet.seen.clear();
+        for (const auto& daemon : fleet.daemons)
+        {
+            BOOST_TEST(fleet.call(*daemon, {.path = "/split/x"}).response.status == 200);
+        }
+        for (const rig::seen_request& request : fleet.seen)
+        {
+            ++calls;
+            to_desk += request.service == "desk" ? 1 : 0;
+        }
+    }
+    BOOST_TEST(calls == changes * daemon_count);
+    BOOST_TEST(std::abs(to_desk * 100 / calls - percent_to_desk) <= tolerated_percent);
+}
+
 namespace
 {
 
