Probe few silent peers while the own daemon is behind

Cause: a daemon that was behind took its own lateness for the silence of its peers, and probed each of them again and again. Probes go before calls, as configurations do, and were most of what the daemons did: each was late for its peers because of the probes, and probed the more. Pushes of configurations waited behind them and were given up.

The wait of events for the loop is kept as its lag. It is added to the time after which a peer counts as silent, and with 100 ms or more two probes at most are under way. placement-test/daemon_that_is_behind_probes_few_silent_peers and own_lag_is_no_silence_of_a_peer are of a function that is new; without the lag it returns what was probed before: all 70 peers.

--- /dev/null
+++ b/src/loop_lag.cpp
@@ -0,0 +1,28 @@
+#include "loop_lag.hpp"
+
+#include <algorithm>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+// Some rounds of a loop that is behind.
+constexpr time_ms lag_memory_ms = 1000;
+constexpr double ms_per_us = 1e-3;
+
+} // namespace
+
+void note_lag(loop_lag& lag, std::int64_t waited_us, time_ms now)
+{
+    lag.ms = std::max(static_cast<double>(waited_us) * ms_per_us, current_lag_ms(lag, now));
+    lag.at = now;
+}
+
+double current_lag_ms(const loop_lag& lag, time_ms now)
+{
+    return lag.ms * decay(now - lag.at, lag_memory_ms);
+}
+
+} // namespace sardinepoint
--- /dev/null
+++ b/src/loop_lag.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "sardinepoint/core.hpp"
+
+#include <cstdint>
+
+namespace sardinepoint
+{
+
+/** How long events lately waited for the loop. */
+struct loop_lag
+{
+    double ms = 0;
+    time_ms at = 0;
+};
+
+/** Takes over the longest wait of a round of the loop. */
+void note_lag(loop_lag& lag, std::int64_t waited_us, time_ms now);
+
+/** The longest wait of late, which fades, in milliseconds. */
+double current_lag_ms(const loop_lag& lag, time_ms now);
+
+} // namespace sardinepoint
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "loop_lag.hpp"
+
 #include "sardinepoint/config.hpp"
 #include "sardinepoint/connection_pool.hpp"
 #include "sardinepoint/event_loop.hpp"
@@ -176,6 +178,7 @@
     log_client log;
     metrics stats;
     long_rounds rounds;
+    loop_lag lag;
     std::mt19937_64 random{std::random_device{}()};
     std::uint64_t incarnation = 0;
     bool leaving = false;
--- a/src/peer_silence.cpp
+++ b/src/peer_silence.cpp
@@ -2,7 +2,6 @@
 
 #include "outbound.hpp"
 #include "peer_messages.hpp"
-#include "sidecar.hpp"
 
 #include "sardinepoint/logging.hpp"
 
@@ -27,10 +26,24 @@
 constexpr time_ms silence_reprobe_ms = 700;
 // A daemon behind a full link, or without processor time for the moment, is late but not gone.
 constexpr double ways_more = 2;
+// In a daemon with processor time to spare events wait for some milliseconds.
+constexpr double behind_ms = 100;
+constexpr std::size_t most_probes_behind = 2;
 
-time_ms allowance_for(const peer_silence& peer)
+time_ms allowance_for(const peer_silence& peer, double lag_ms)
 {
-    return static_cast<time_ms>(ways_more * peer.way);
+    return static_cast<time_ms>(ways_more * peer.way + lag_ms);
+}
+
+bool owes_answer(const peer_silence& peer, time_ms offered_at, double lag_ms, time_ms now)
+{
+    return now - std::max({offered_at, peer.heard_at, peer.probed_at}) >
+           silence_ms + allowance_for(peer, lag_ms);
+}
+
+bool awaits_probe(const peer_silence& peer, time_ms now)
+{
+    return peer.silent && now - peer.probed_at > silence_reprobe_ms;
 }
 
 /** New calls avoid the instances of a daemon for some time; at 0 they no longer do. */
@@ -52,6 +65,7 @@
 void handle_probe_end(node& self, const std::string& member, time_ms probed_at, bool answered)
 {
     peer_silence& peer = self.side->peers[member];
+    peer.probing = false;
     const bool was_silent = std::exchange(peer.silent, !answered);
     if (!answered)
     {
@@ -77,51 +91,66 @@
         return;
     }
     const time_ms now = steady_now();
-    self.side->peers[member].probed_at = now;
+    peer_silence& peer = self.side->peers[member];
+    peer.probed_at = now;
+    peer.probing = true;
     send_peer(self, control_endpoint(entry->record), "/peer/v1/probe", {{"id", self.config.id}},
-              silence_probe_timeout_ms + allowance_for(self.side->peers[member]),
+              silence_probe_timeout_ms + allowance_for(peer, current_lag_ms(self.lag, now)),
               [&self, member, now](const nlohmann::json* answer)
               { handle_probe_end(self, member, now, answer != nullptr); });
 }
 
-/** Peers that did not answer and are due to be probed again. */
-std::vector<std::string> silent_peers(const node& self, time_ms now)
+} // namespace
+
+std::vector<std::string>
+probes_due(const std::map<std::string, peer_silence, std::less<>>& peers,
+           const std::map<std::string, time_ms, std::less<>>& oldest_offers, double lag_ms,
+           time_ms now)
 {
-    std::vector<std::string> due;
-    for (const auto& [member, peer] : self.side->peers)
+    std::vector<std::pair<time_ms, std::string>> due;
+    std::size_t under_way = 0;
+    for (const auto& [member, peer] : peers)
     {
-        if (peer.silent && now - peer.probed_at > silence_reprobe_ms)
+        under_way += peer.probing ? 1 : 0;
+        const auto offered = oldest_offers.find(member);
+        const bool owes =
+            offered != oldest_offers.end() && owes_answer(peer, offered->second, lag_ms, now);
+        if (owes || awaits_probe(peer, now))
         {
-            due.push_back(member);
+            due.emplace_back(peer.probed_at, member);
         }
     }
-    return due;
+    // Those that were not probed for the longest time first.
+    std::sort(due.begin(), due.end());
+    if (lag_ms >= behind_ms)
+    {
+        due.resize(
+            std::min(due.size(), most_probes_behind - std::min(under_way, most_probes_behind)));
+    }
+    std::vector<std::string> members;
+    for (auto& [probed_at, member] : due)
+    {
+        members.push_back(std::move(member));
+    }
+    return members;
 }
 
-} // namespace
-
 void check_peers(node& self)
 {
     const time_ms now = steady_now();
-    std::map<std::string, time_ms> oldest;
+    std::map<std::string, time_ms, std::less<>> oldest;
     for (const auto& [id, call] : self.side->outbound)
     {
         if (call->forwarded)
         {
             const auto [entry, added] = oldest.try_emplace(call->member, call->offered_at);
             entry->second = std::min(entry->second, call->offered_at);
+            // A peer that was never heard is judged like one heard long ago.
+            self.side->peers.try_emplace(call->member);
         }
     }
-    for (const auto& [member, offered_at] : oldest)
-    {
-        const peer_silence& peer = self.side->peers[member];
-        if (now - std::max({offered_at, peer.heard_at, peer.probed_at}) >
-            silence_ms + allowance_for(peer))
-        {
-            probe_silent_peer(self, member);
-        }
-    }
-    for (const std::string& member : silent_peers(self, now))
+    for (const std::string& member :
+         probes_due(self.side->peers, oldest, current_lag_ms(self.lag, now), now))
     {
         probe_silent_peer(self, member);
     }
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -34,6 +34,8 @@
     time_ms probed_at = 0;
     /** The last probe was not answered: probed again until one is. */
     bool silent = false;
+    /** A probe is under way. */
+    bool probing = false;
     /** Time that calls lately spent on the way there and back. */
     double way = 0;
 };
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -2,6 +2,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "peer_silence.hpp"
+
 #include "sardinepoint/placement.hpp"
 #include "sardinepoint/retry_ledger.hpp"
 #include "sardinepoint/route_table.hpp"
@@ -209,6 +211,41 @@
     BOOST_TEST(std::abs(share_of_second(split, calls, random) - weight / 100) < tolerated);
 }
 
+// Guards against probes that take the processor time of daemons which are behind: each was late for
+// its peers, all probed all others again and again, and configurations waited behind the probes.
+BOOST_AUTO_TEST_CASE(daemon_that_is_behind_probes_few_silent_peers)
+{
+    constexpr time_ms now = 10'000;
+    constexpr double behind = 300;
+    std::map<std::string, peer_silence, std::less<>> peers;
+    std::map<std::string, time_ms, std::less<>> offers;
+    for (int i = 0; i < 70; ++i)
+    {
+        const std::string member = "vm-" + std::to_string(i);
+        peers[member] = {.heard_at = now - 1000, .probed_at = now - 1000 - i, .silent = i % 2 == 0};
+        offers[member] = now - 600;
+    }
+    BOOST_TEST(probes_due(peers, offers, 0, now).size() == peers.size());
+    // Those that have waited for the longest time.
+    const std::vector<std::string> first = probes_due(peers, offers, behind, now);
+    BOOST_TEST(first == (std::vector<std::string>{"vm-69", "vm-68"}),
+               boost::test_tools::per_element());
+    peers["vm-69"].probing = true;
+    BOOST_TEST(probes_due(peers, offers, behind, now).size() == 1U);
+    peers["vm-68"].probing = true;
+    BOOST_TEST(probes_due(peers, offers, behind, now).empty());
+}
+
+// Guards against peers that count as silent while their answers wait unread in the own daemon.
+BOOST_AUTO_TEST_CASE(own_lag_is_no_silence_of_a_peer)
+{
+    constexpr time_ms now = 10'000;
+    const std::map<std::string, peer_silence, std::less<>> peers{{"vm", {.heard_at = now - 400}}};
+    const std::map<std::string, time_ms, std::less<>> offers{{"vm", now - 400}};
+    BOOST_TEST(probes_due(peers, offers, 10, now).size() == 1U);
+    BOOST_TEST(probes_due(peers, offers, 200, now).empty());
+}
+
 // Guards against a series of changes that begins the shares of a split anew each time.
 BOOST_AUTO_TEST_CASE(split_goes_on_while_other_routes_change)
 {
