Bound the unread time of a call by one round of the loop

It counts from the end of the wait before now, as for all others, so a call may still have waited longer.

--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -128,9 +128,8 @@
     std::int64_t urgent_pause_us = 0;
     /** Set by the event of the urgent descriptors among the others. */
     bool urgent_ready = false;
-    /** End of the last wait, and whether it may have left ready descriptors for the next one. */
+    /** End of the last wait that was not interrupted. */
     std::int64_t woken_us = 0;
-    bool more_ready = false;
     std::int64_t ready_since_us = 0;
     ACE_Timer_Heap timer_queue;
     ACE_Sig_Handler signals;
@@ -209,21 +208,16 @@
 }
 
 /** Notes since when descriptors may have been ready that a wait of at most `wait` has found. */
-void note_wait(event_loop& loop, std::int64_t asked_us, std::int64_t woken_us, time_ms wait,
-               bool more_ready)
+void note_wait(event_loop& loop, std::int64_t asked_us, std::int64_t woken_us, time_ms wait)
 {
     const std::int64_t waited_us = woken_us - asked_us;
-    if (!loop.more_ready)
+    // One that lasts longer than it was asked to found the process without processor time.
+    const bool overslept = waited_us > wait * us_per_ms + no_wait_us;
+    loop.ready_since_us = overslept ? asked_us : woken_us;
+    if (waited_us < no_wait_us && loop.woken_us > 0)
     {
-        // One that lasts longer than it was asked to found the process without processor time.
-        const bool overslept = waited_us > wait * us_per_ms + no_wait_us;
-        loop.ready_since_us = overslept ? asked_us : woken_us;
-        if (waited_us < no_wait_us && loop.woken_us > 0)
-        {
-            loop.ready_since_us = loop.woken_us;
-        }
+        loop.ready_since_us = loop.woken_us;
     }
-    loop.more_ready = more_ready;
     loop.woken_us = woken_us;
 }
 
@@ -234,8 +228,11 @@
     const std::int64_t asked_us = steady_now_us();
     const int count = ::epoll_wait(loop.epoll, events.data(), most_events, static_cast<int>(wait));
     const std::int64_t woken_us = steady_now_us();
-    // A wait that a signal ended has found nothing yet.
-    note_wait(loop, asked_us, woken_us, wait, count < 0 || count == most_events);
+    // A wait that a signal ended has found nothing yet; the next one counts from its begin.
+    if (count >= 0)
+    {
+        note_wait(loop, asked_us, woken_us, wait);
+    }
     loop.urgent_served_us = woken_us;
     loop.urgent_ready = false;
     bool urgent_served = false;
