Allow for the own lag before upstreams and peers count as gone

Callers saw 503 from services with room, and calls were broken off, while their daemon was behind.

A connection to the daemon's own upstream that took longer than 300 ms counted as an upstream that is gone, also if the daemon itself was 400 ms behind, and all its calls were refused until the next announcement.

--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -128,7 +128,8 @@
     {
         return;
     }
-    probe_peer(*self.upstream_pool, self.side->served->announced.address, crash_probe_timeout_ms,
+    probe_peer(*self.upstream_pool, self.side->served->announced.address,
+               timeout_with_lag(self.lag, crash_probe_timeout_ms, steady_now()),
                [&self, id, reason = std::move(reason)](bool accepted)
                {
                    inbound_call* lost = find_inbound(self, id);
@@ -247,7 +248,8 @@
          .headers = std::move(headers),
          .body = call.request.body,
          .timeout = time_left + answer_margin_ms,
-         .connect_timeout = std::min(time_left, upstream_connect_timeout_ms),
+         .connect_timeout = std::min(
+             time_left, timeout_with_lag(self.lag, upstream_connect_timeout_ms, call.started)),
          .max_idle = usable_idle(call.terms.idempotent),
          .accept_unframed = true,
          .owns_answer =
--- a/src/loop_lag.cpp
+++ b/src/loop_lag.cpp
@@ -25,4 +25,9 @@
     return lag.ms * decay(now - lag.at, lag_memory_ms);
 }
 
+time_ms timeout_with_lag(const loop_lag& lag, time_ms timeout, time_ms now)
+{
+    return timeout + static_cast<time_ms>(current_lag_ms(lag, now));
+}
+
 } // namespace sardinepoint
--- a/src/loop_lag.hpp
+++ b/src/loop_lag.hpp
@@ -20,4 +20,7 @@
 /** The longest wait of late, which fades, in milliseconds. */
 double current_lag_ms(const loop_lag& lag, time_ms now);
 
+/** The time after which the other side counts as silent: an answer may wait as long as the lag. */
+time_ms timeout_with_lag(const loop_lag& lag, time_ms timeout, time_ms now);
+
 } // namespace sardinepoint
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -370,22 +370,23 @@
     strip_connection_headers(request.headers);
     strip_own_headers(request.headers);
     write_terms(request, terms);
-    call.forwarded = send_request(*self.side->peer_pool,
-                                  {.peer = daemon,
-                                   .method = std::move(request.method),
-                                   .target = std::move(request.target),
-                                   .headers = std::move(request.headers),
-                                   .body = std::move(request.body),
-                                   .timeout = left,
-                                   .connect_timeout = std::min(left, peer_connect_timeout_ms),
-                                   .max_idle = usable_peer_idle(call.idempotent)},
-                                  [&self, id](http_result answer)
-                                  {
-                                      bool from_daemon = false;
-                                      inbound_result result =
-                                          from_peer_answer(std::move(answer), from_daemon);
-                                      finish_offer(self, id, std::move(result), from_daemon);
-                                  });
+    call.forwarded =
+        send_request(*self.side->peer_pool,
+                     {.peer = daemon,
+                      .method = std::move(request.method),
+                      .target = std::move(request.target),
+                      .headers = std::move(request.headers),
+                      .body = std::move(request.body),
+                      .timeout = left,
+                      .connect_timeout = std::min(
+                          left, timeout_with_lag(self.lag, peer_connect_timeout_ms, steady_now())),
+                      .max_idle = usable_peer_idle(call.idempotent)},
+                     [&self, id](http_result answer)
+                     {
+                         bool from_daemon = false;
+                         inbound_result result = from_peer_answer(std::move(answer), from_daemon);
+                         finish_offer(self, id, std::move(result), from_daemon);
+                     });
 }
 
 /** The queue on this VM is known without a report. */
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -93,7 +93,8 @@
 {
     served_upstream& served = *self.side->served;
     served.probed_at = steady_now();
-    probe_peer(*self.upstream_pool, served.announced.address, silence_probe_timeout_ms,
+    probe_peer(*self.upstream_pool, served.announced.address,
+               timeout_with_lag(self.lag, silence_probe_timeout_ms, served.probed_at),
                [&self, instance = served.announced.instance](bool accepted)
                {
                    const bool same =
