Let a daemon that is behind prefer its own upstream

Callers of daemons without processor time to spare were served less often since few silent peers are probed: what had kept calls at home was that all peers counted as silent. Each call that leaves costs two daemons processor time.

The lag of the loop is part of the cost of leaving the own VM now. It is some milliseconds in a daemon that is in time.

--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -81,6 +81,8 @@
     std::string_view locality;
     /** Usual size of an answer to this call. */
     double reply_kb = 0;
+    /** How long an answer of another daemon may wait here before it is read. */
+    double lag_ms = 0;
     /** Instances that were offered this call already. */
     std::span<const std::string> tried;
     /** Positions of the views that may get the call; all if not set. */
--- a/src/instance_choice.cpp
+++ b/src/instance_choice.cpp
@@ -68,6 +68,7 @@
     const placement_request request{.own_member = self.config.id,
                                     .locality = self.config.sidecar.locality,
                                     .reply_kb = usual_reply_kb(self, call.route),
+                                    .lag_ms = current_lag_ms(self.lag, steady_now()),
                                     .tried = call.tried,
                                     .eligible = positions};
     const auto chosen =
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -63,7 +63,9 @@
     cost *= 1 + options.error_cost * view.error_share;
     cost += way_to(view, options, now);
     cost += view.locality == request.locality ? 0 : cost_of_leaving(request, options);
-    cost += view.member == request.own_member ? 0 : static_cast<double>(options.hop_cost);
+    cost += view.member == request.own_member
+                ? 0
+                : static_cast<double>(options.hop_cost) + request.lag_ms;
     return cost * (1 + std::uniform_real_distribution<double>(0, options.noise)(rng));
 }
 
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -236,6 +236,34 @@
     BOOST_TEST(probes_due(peers, offers, behind, now).empty());
 }
 
+// Guards against calls that a daemon without processor time sends to others, which costs it and
+// them more than a wait beside its own upstream.
+BOOST_AUTO_TEST_CASE(daemon_that_is_behind_prefers_its_own_upstream)
+{
+    const std::vector<instance_view> views{
+        view_of("own", {.running = 10, .waiting = 1, .backlog = 100, .hold = 50}, 1000),
+        view_of("other", {.running = 1, .hold = 50}, 1000)};
+    std::mt19937_64 random{7};
+    const auto chosen = [&](double lag_ms)
+    {
+        const placement_request request{.own_member = "vm-own", .locality = "a", .lag_ms = lag_ms};
+        return views[place_call(views, request, {}, 1000, random)->index].instance;
+    };
+    BOOST_TEST(chosen(0) == "other");
+    BOOST_TEST(chosen(300) == "own");
+}
+
+// Guards against upstreams and peers that count as gone while their answers wait unread.
+BOOST_AUTO_TEST_CASE(timeouts_allow_for_the_own_lag)
+{
+    loop_lag lag;
+    note_lag(lag, 400'000, 1000);
+    // Short rounds don't hide a long one at once.
+    note_lag(lag, 1000, 1010);
+    BOOST_TEST(timeout_with_lag(lag, 300, 1010) >= 650);
+    BOOST_TEST(timeout_with_lag(lag, 300, 10'000) == 300);
+}
+
 // Guards against peers that count as silent while their answers wait unread in the own daemon.
 BOOST_AUTO_TEST_CASE(own_lag_is_no_silence_of_a_peer)
 {
