--- a/include/sardinepoint/caller_times.hpp
+++ b/include/sardinepoint/caller_times.hpp
@@ -2,6 +2,8 @@
 
 #include "sardinepoint/core.hpp"
 
+#include <cstdint>
+
 namespace sardinepoint
 {
 
@@ -18,4 +20,13 @@
  */
 time_ms time_since_first(caller_times& times, time_ms told);
 
+/**
+ * When the time of a caller's call begins: it was read at one time, and may have arrived as early
+ * as at the other one.
+ */
+std::int64_t time_begins_us(std::int64_t arrived_us, std::int64_t read_us);
+
+/** The same for a call that another daemon has passed on. */
+std::int64_t passed_time_begins_us(std::int64_t arrived_us, std::int64_t read_us);
+
 } // namespace sardinepoint
--- a/src/caller_times.cpp
+++ b/src/caller_times.cpp
@@ -13,6 +13,12 @@
 // Part by which each shorter time lowers the longest one: a new limit shows after some thousand
 // calls, and a burst of calls that came back doesn't change it.
 constexpr double forget_gain = 0.0005;
+// An answer this much later than its route's time still serves its caller.
+constexpr std::int64_t tolerated_unread_us = 250'000;
+// The caller's daemon keeps the call's time anyway, and a call refused here is offered to others:
+// with the whole wait counted, daemons that were behind refused calls that they could have
+// answered.
+constexpr std::int64_t tolerated_unread_passed_us = 450'000;
 
 } // namespace
 
@@ -23,4 +29,15 @@
     return static_cast<time_ms>(std::max(first_attempt_part * times.longest - time, 0.0));
 }
 
+std::int64_t time_begins_us(std::int64_t arrived_us, std::int64_t read_us)
+{
+    const std::int64_t middle_us = arrived_us + (read_us - arrived_us) / 2;
+    return std::min(middle_us, arrived_us + tolerated_unread_us);
+}
+
+std::int64_t passed_time_begins_us(std::int64_t arrived_us, std::int64_t read_us)
+{
+    return std::min(read_us, arrived_us + tolerated_unread_passed_us);
+}
+
 } // namespace sardinepoint
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -292,10 +292,12 @@
 /** Takes the time that the request has waited unread from the call's time. */
 void note_unread(node& self, const http_request& request, hop_terms& terms)
 {
-    const std::int64_t unread_us = steady_now_us() - request.arrived_us;
-    observe(self.stats, "inbound_unread_seconds", static_cast<double>(unread_us) * seconds_per_us);
-    terms.time_left -= unread_us / us_per_ms;
-    terms.goal_left = std::max<time_ms>(terms.goal_left - unread_us / us_per_ms, 0);
+    const std::int64_t now_us = steady_now_us();
+    observe(self.stats, "inbound_unread_seconds",
+            static_cast<double>(now_us - request.arrived_us) * seconds_per_us);
+    const time_ms gone = (now_us - passed_time_begins_us(request.arrived_us, now_us)) / us_per_ms;
+    terms.time_left -= gone;
+    terms.goal_left = std::max<time_ms>(terms.goal_left - gone, 0);
 }
 
 } // namespace
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -441,7 +441,7 @@
 }
 
 /** When the answer is worth most. For the caller its time counts from its first attempt. */
-time_ms goal_of(node& self, const outbound_call& call, time_ms goal, time_ms arrived)
+time_ms goal_of(node& self, const outbound_call& call, time_ms goal, time_ms begun)
 {
     if (goal <= 0)
     {
@@ -450,9 +450,9 @@
     // Upstreams give a call that they make what the run it is for has left.
     if (call.priority == 0 || !call.caller.time_left)
     {
-        return arrived + goal;
+        return begun + goal;
     }
-    return arrived + goal - time_since_first(self.side->told[call.route], *call.caller.time_left);
+    return begun + goal - time_since_first(self.side->told[call.route], *call.caller.time_left);
 }
 
 /** Sets the route and limits; answers the call if it can't be run. */
@@ -460,8 +460,8 @@
 {
     const std::uint64_t id = call.id.value;
     const replica& config = self.config_replica;
-    const time_ms arrived = call.arrived_us / us_per_ms;
-    call.deadline = arrived + call.caller.time_left.value_or(default_time_ms);
+    const time_ms begun = time_begins_us(call.arrived_us, call.read_us) / us_per_ms;
+    call.deadline = begun + call.caller.time_left.value_or(default_time_ms);
     if (!config.ready || config.state.version == 0)
     {
         refuse(self, id,
@@ -504,8 +504,8 @@
     call.for_priority = matched->priority == 0 ? least_running_priority(self) : matched->priority;
     call.max_attempts = matched->max_attempts;
     call.deadline =
-        arrived + std::min(call.caller.time_left.value_or(matched->timeout), matched->timeout);
-    call.goal_at = goal_of(self, call, matched->goal, arrived);
+        begun + std::min(call.caller.time_left.value_or(matched->timeout), matched->timeout);
+    call.goal_at = goal_of(self, call, matched->goal, begun);
     return true;
 }
 
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -26,7 +26,7 @@
     /** Priority of the least urgent run that may wait for this call. */
     int for_priority = 0;
     int max_attempts = 0;
-    /** The caller's time counts from the earliest time at which the call may have arrived. */
+    /** Earliest time at which the call may have arrived. */
     std::int64_t arrived_us = 0;
     std::int64_t read_us = 0;
     time_ms goal_at = 0;
