Bound the lag of a loop that was stopped

A daemon that was stopped for seconds and goes on would have waited as long for upstreams and peers that are gone.

--- a/src/loop_lag.cpp
+++ b/src/loop_lag.cpp
@@ -10,13 +10,16 @@
 
 // Some rounds of a loop that is behind.
 constexpr time_ms lag_memory_ms = 1000;
+// A process that was stopped for longer is not behind any more soon after it goes on.
+constexpr double most_lag_ms = 500;
 constexpr double ms_per_us = 1e-3;
 
 } // namespace
 
 void note_lag(loop_lag& lag, std::int64_t waited_us, time_ms now)
 {
-    lag.ms = std::max(static_cast<double>(waited_us) * ms_per_us, current_lag_ms(lag, now));
+    const double waited_ms = std::min(static_cast<double>(waited_us) * ms_per_us, most_lag_ms);
+    lag.ms = std::max(waited_ms, current_lag_ms(lag, now));
     lag.at = now;
 }
 
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -262,6 +262,9 @@
     note_lag(lag, 1000, 1010);
     BOOST_TEST(timeout_with_lag(lag, 300, 1010) >= 650);
     BOOST_TEST(timeout_with_lag(lag, 300, 10'000) == 300);
+    // A process that was stopped for seconds must not wait for seconds for what is gone.
+    note_lag(lag, 5'000'000, 10'000);
+    BOOST_TEST(timeout_with_lag(lag, 300, 10'000) <= 800);
 }
 
 // Guards against peers that count as silent while their answers wait unread in the own daemon.
