--- a/src/peer_silence.cpp
+++ b/src/peer_silence.cpp
@@ -128,6 +128,7 @@
             std::min(due.size(), most_probes_behind - std::min(under_way, most_probes_behind)));
     }
     std::vector<std::string> members;
+    members.reserve(due.size());
     for (auto& [probed_at, member] : due)
     {
         members.push_back(std::move(member));
