--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -32,13 +32,16 @@
     const double sum = std::accumulate(matched.split.begin(), matched.split.end(), 0.0,
                                        [](double total, const split_target& target)
                                        { return total + target.weight; });
+    std::optional<std::size_t> richest;
     for (std::size_t i = 0; i < credit.credit.size(); ++i)
     {
         credit.credit[i] += matched.split[i].weight / sum;
+        // A target whose weight has become 0 may have credit left.
+        const bool usable = matched.split[i].weight > 0;
+        richest = usable && (!richest || credit.credit[i] > credit.credit[*richest]) ? i : richest;
     }
-    const auto richest = std::max_element(credit.credit.begin(), credit.credit.end());
-    *richest -= 1;
-    return static_cast<std::size_t>(richest - credit.credit.begin());
+    credit.credit[richest.value_or(0)] -= 1;
+    return richest.value_or(0);
 }
 
 /**
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -277,6 +277,26 @@
     BOOST_TEST(probes_due(peers, offers, 200, now).empty());
 }
 
+// Guards against calls to a part that was switched off, from the credit that it had before.
+BOOST_AUTO_TEST_CASE(part_without_weight_gets_no_calls)
+{
+    std::mt19937_64 random{9};
+    const route all{.name = "r", .split = {{"a", 1}, {"b", 1}, {"c", 1}}};
+    const route without_c{.name = "r", .split = {{"a", 1}, {"b", 1}, {"c", 0}}};
+    for (int calls_before = 1; calls_before <= 20; ++calls_before)
+    {
+        split_credits credits;
+        for (int i = 0; i < calls_before; ++i)
+        {
+            next_service(credits, all, random);
+        }
+        for (int i = 0; i < 10; ++i)
+        {
+            BOOST_TEST(next_service(credits, without_c, random) != "c");
+        }
+    }
+}
+
 // Guards against a series of changes that begins the shares of a split anew each time.
 BOOST_AUTO_TEST_CASE(split_goes_on_while_other_routes_change)
 {
