--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -38,7 +38,7 @@
 constexpr int listen_backlog = 1024;
 constexpr int most_accepts_per_event = 64;
 constexpr std::size_t read_bytes = 32U << 10U;
-// Callers give up what isn't read for this long; the end of their connection is behind the request.
+// From this wait on a request's caller may have left; the end of its connection is behind it.
 constexpr std::int64_t long_unread_us = 20'000;
 constexpr time_ms sweep_interval_ms = 500;
 // How long the rest of a caller's data is read and dropped before a closed connection is released:
