Accept every waiting connection before a planned stop closes its listener

Cause: stop_accepting() took at most 64 connections, the limit for one event of the loop, while 1,024 may wait at the listener. Closing it reset the rest without an answer. Test: pipelined-server-test all_pending_connections_are_accepted_before_the_listener_closes, seen to fail with 63 of 300 calls answered, now 300.

--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -498,14 +498,20 @@
     update_watch(server, connection);
 }
 
-void accept_pending(pipelined_server& server)
+/** Accepts waiting connections, up to the limit. Returns false if none is left. */
+bool accept_pending(pipelined_server& server, int limit)
 {
-    for (int i = 0; i < max_accepts_per_event; ++i)
+    for (int i = 0; i < limit; ++i)
     {
         const int fd = ::accept4(server.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
         {
-            return;
+            // A caller that has given up its connection leaves the ones behind it waiting.
+            if (errno == ECONNABORTED || errno == EINTR)
+            {
+                continue;
+            }
+            return false;
         }
         if (server.connections.size() >= server.options.max_connections)
         {
@@ -516,6 +522,7 @@
         }
         accept_connection(server, fd);
     }
+    return true;
 }
 
 void close_listener(pipelined_server& server)
@@ -651,7 +658,7 @@
     server->port = local_port(listener);
     pipelined_server* raw = server.get();
     watch_fd(loop, listener, {.read = true, .write = false},
-             [raw](io_interest) { accept_pending(*raw); });
+             [raw](io_interest) { accept_pending(*raw, max_accepts_per_event); });
     raw->sweep_timer = run_every(loop, sweep_interval_ms, [raw] { sweep(*raw); });
     return server;
 }
@@ -696,7 +703,9 @@
     {
         return false;
     }
-    accept_pending(server);
+    // Closing the listener resets the connections that still wait at it. New ones may arrive
+    // meanwhile, so the number of rounds is bounded.
+    accept_pending(server, 2 * listen_backlog);
     close_listener(server);
     return true;
 }
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -398,3 +399,36 @@
     test.answer(0, "one");
     BOOST_TEST(test.receive().find("one") != std::string::npos);
 }
+
+// Guards against calls lost in a planned stop under load: more connections wait at the listener
+// than the server accepts for one event, and closing the listener resets the rest without an
+// answer.
+BOOST_AUTO_TEST_CASE(all_pending_connections_are_accepted_before_the_listener_closes)
+{
+    constexpr std::size_t callers = 300;
+    server_fixture test;
+    std::vector<std::unique_ptr<server_fixture::close_fd>> open;
+    // The loop has not run since the callers connected.
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        test.connect();
+        open.push_back(std::make_unique<server_fixture::close_fd>(test.caller));
+        test.send(get("/" + std::to_string(i), "Connection: close\r\n"));
+    }
+    test.caller = -1;
+    BOOST_TEST(stop_accepting(*test.server));
+    BOOST_TEST(test.run_until([&] { return test.requests.size() == callers; }));
+    BOOST_TEST(test.requests.size() == callers);
+    for (std::size_t i = 0; i < test.requests.size(); ++i)
+    {
+        test.answer(i, "answer");
+    }
+    std::size_t answered = 0;
+    for (const auto& caller : open)
+    {
+        test.caller = caller->fd;
+        answered += test.receive().find("answer") != std::string::npos ? 1 : 0;
+    }
+    test.caller = -1;
+    BOOST_TEST(answered == callers);
+}
