Let the recorded outcome of a move prevail over a later withdrawal

The progress that daemons exchange now says that the outcome is on record; such progress prevails in any order. An aggregator no longer withdraws a move whose completion may have been submitted.

Tests, seen to fail without the precedence: versions-test recorded_completion_of_a_peer_outlasts_a_withdrawal, move-test recorded_outcome_prevails_in_any_order.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -27,13 +27,16 @@
     bool withdrawn = false;
     /** Whether the new version receives all calls, unless the move is withdrawn later. */
     bool done = false;
+    /** The outcome is on record and final, which holds for ordered moves only. */
+    bool recorded = false;
     /** Why the move was withdrawn or completed. */
     std::string reason;
 
     bool operator==(const move_progress&) const = default;
 };
 
-/** Commutative, associative and idempotent. A withdrawal takes precedence over any other state. */
+/** Commutative, associative and idempotent. A recorded outcome takes precedence over any other
+ * state, and a withdrawal over a completion. */
 move_progress merge_progress(const move_progress& left, const move_progress& right);
 
 /** Percentage of the service's calls that the new version receives at the given time. */
--- a/src/move.cpp
+++ b/src/move.cpp
@@ -35,6 +35,14 @@
 
 move_progress merge_progress(const move_progress& left, const move_progress& right)
 {
+    if (left.recorded != right.recorded)
+    {
+        // The old version's upstreams end as soon as a completion is on record, so a daemon that
+        // decides otherwise without knowing the record must not take the new version away too.
+        move_progress merged = left.recorded ? left : right;
+        merged.step = std::max(left.step, right.step);
+        return merged;
+    }
     // Takes the reason of the outcome with the higher precedence. Ties go to the lexicographically
     // greater text, so that the result does not depend on the order of merging.
     const auto left_key = std::pair(outcome_precedence(left), std::string_view(left.reason));
@@ -43,6 +51,7 @@
         .step = std::max(left.step, right.step),
         .withdrawn = left.withdrawn || right.withdrawn,
         .done = left.done || right.done,
+        .recorded = left.recorded,
         .reason = left_key < right_key ? right.reason : left.reason,
     };
 }
--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -101,14 +101,13 @@
                {"ok", result.outcome == append_outcome::appended ? "yes" : "no"},
                {"state", to_string(result.recorded)},
                {"reason", result.reason}});
-    const auto found = self.config_replica.state.moves.find(move);
-    if (result.recorded != move_state::running && found != self.config_replica.state.moves.end())
+    if (result.recorded != move_state::running)
     {
         // The first recorded outcome is final, even if this daemon decided otherwise.
-        found->second.state = result.recorded;
-        move_progress progress{.reason = result.reason};
-        progress.done = result.recorded == move_state::done;
-        progress.withdrawn = result.recorded == move_state::withdrawn;
+        const move_progress progress{.withdrawn = result.recorded == move_state::withdrawn,
+                                     .done = result.recorded == move_state::done,
+                                     .recorded = true,
+                                     .reason = result.reason};
         advance_move(self, move, progress, "log");
         broadcast_move(self, move);
         return;
@@ -214,6 +213,17 @@
     }
 }
 
+/**
+ * Whether a completion may have been submitted, by this daemon or by another aggregator. The old
+ * version's upstreams end with its record, so the move can't be withdrawn any more.
+ */
+bool may_completion_be_recorded(const move_record& record, const tracked_move& tracked)
+{
+    return record.spec.order > 0 && tracked.progress.done && !tracked.progress.withdrawn &&
+           drain_time_left(record.spec, tracked.progress, steady_now() - tracked.done_since,
+                           wall_now()) == 0;
+}
+
 void tick_move(node& self, const std::string& move, tracked_move& tracked)
 {
     const move_record* record = find_move_record(self, move);
@@ -250,7 +260,8 @@
     {
         return;
     }
-    if (!is_watched(record->spec, tracked.progress, wall_now()))
+    if (!is_watched(record->spec, tracked.progress, wall_now()) ||
+        may_completion_be_recorded(*record, tracked))
     {
         record_move_outcome(self, *record, tracked);
         return;
--- a/src/move_exchange.cpp
+++ b/src/move_exchange.cpp
@@ -22,6 +22,7 @@
                {"step", progress.step},
                {"withdrawn", progress.withdrawn ? "yes" : "no"},
                {"done", progress.done ? "yes" : "no"},
+               {"recorded", progress.recorded ? "yes" : "no"},
                {"source", source},
                {"reason", progress.reason}});
 }
@@ -47,6 +48,7 @@
 bool advance_move(node& self, const std::string& move, const move_progress& progress,
                   std::string_view source)
 {
+    apply_recorded_outcome(self, move, progress);
     const auto found = self.moves->moves.find(move);
     if (found == self.moves->moves.end())
     {
--- a/src/move_internal.hpp
+++ b/src/move_internal.hpp
@@ -20,6 +20,9 @@
 /** Percentage of the service's calls that this daemon currently sends to the new version. */
 double current_share(const move_spec& spec, const tracked_move& tracked);
 
+/** Sets the state of the move's record if its progress says that the outcome is on record. */
+void apply_recorded_outcome(node& self, const std::string& move, const move_progress& progress);
+
 /** Merges progress into a tracked move; returns whether it changed. */
 bool advance_move(node& self, const std::string& move, const move_progress& progress,
                   std::string_view source);
--- a/src/move_json.cpp
+++ b/src/move_json.cpp
@@ -59,6 +59,7 @@
     return {{"step", progress.step},
             {"withdrawn", progress.withdrawn},
             {"done", progress.done},
+            {"recorded", progress.recorded},
             {"reason", progress.reason}};
 }
 
@@ -77,6 +78,7 @@
     };
     progress.withdrawn = flag("withdrawn");
     progress.done = flag("done");
+    progress.recorded = flag("recorded") && progress.done != progress.withdrawn;
     const auto reason = value.find("reason");
     if (reason != value.end() && reason->is_string())
     {
--- a/src/move_runtime.cpp
+++ b/src/move_runtime.cpp
@@ -59,6 +59,15 @@
     return found == moves.end() ? nullptr : &found->second;
 }
 
+void apply_recorded_outcome(node& self, const std::string& move, const move_progress& progress)
+{
+    const auto found = self.config_replica.state.moves.find(move);
+    if (progress.recorded && found != self.config_replica.state.moves.end())
+    {
+        found->second.state = progress.withdrawn ? move_state::withdrawn : move_state::done;
+    }
+}
+
 std::pair<const move_record*, tracked_move*> move_of_service(const node& self,
                                                              std::string_view service)
 {
@@ -114,6 +123,8 @@
                        {"deadline_ms", record.spec.deadline}});
         }
         tracked.progress.done = tracked.progress.done || record.state == move_state::done;
+        // The records just read may be older than the outcome.
+        apply_recorded_outcome(self, id, tracked.progress);
     }
 }
 
--- a/test/move-test.cpp
+++ b/test/move-test.cpp
@@ -189,6 +189,37 @@
     }
 }
 
+// Guards against daemons that take the new version away after its completion is on record: the
+// recorded outcome prevails over what an aggregator decided without knowing it, in any order.
+BOOST_AUTO_TEST_CASE(recorded_outcome_prevails_in_any_order)
+{
+    std::mt19937_64 random = make_random();
+    for (int round = 0; round < rounds; ++round)
+    {
+        const bool completed = draw(random, 0, 1) == 0;
+        std::vector<move_progress> messages{{.step = 4,
+                                             .withdrawn = !completed,
+                                             .done = completed,
+                                             .recorded = true,
+                                             .reason = "r"},
+                                            {.withdrawn = true, .reason = "late failures"},
+                                            {.step = 4, .done = true, .reason = "all steps passed"},
+                                            draw_progress(random),
+                                            draw_progress(random)};
+        std::shuffle(messages.begin(), messages.end(), random);
+        move_progress merged;
+        for (const move_progress& message : messages)
+        {
+            merged = merge_progress(merged, message);
+            BOOST_TEST((merge_progress(merged, message) == merged));
+        }
+        BOOST_TEST(merged.recorded);
+        BOOST_TEST(merged.withdrawn == !completed);
+        BOOST_TEST(merged.done == completed);
+        BOOST_TEST(merged.reason == "r");
+    }
+}
+
 // Guards against a completion whose reason replaces that of a withdrawal by another daemon.
 BOOST_AUTO_TEST_CASE(reason_of_a_withdrawal_wins)
 {
--- a/test/versions-test.cpp
+++ b/test/versions-test.cpp
@@ -7,6 +7,8 @@
 #include "outbound.hpp"
 #include "sidecar.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 
 using namespace sardinepoint;
@@ -74,3 +76,26 @@
     BOOST_TEST(!may_receive_call(rule, "v3", false));
     BOOST_TEST(!may_receive_call(rule, "v3", true));
 }
+
+// Guards against a service without usable upstreams: the old upstreams end when a completion is on
+// record, and an aggregator that takes over without knowing the record withdraws the new version.
+BOOST_FIXTURE_TEST_CASE(recorded_completion_of_a_peer_outlasts_a_withdrawal, two_orders)
+{
+    this->self.config_replica.state.moves.erase("board@5");
+    this->self.moves->moves.erase("board@5");
+    const nlohmann::json withdrawal{
+        {{"move", "board@1"}, {"step", 4}, {"withdrawn", true}, {"reason", "late failures"}}};
+    const nlohmann::json completion{
+        {{"move", "board@1"}, {"step", 4}, {"done", true}, {"recorded", true}}};
+    merge_progress_list(this->self, withdrawal);
+    BOOST_TEST(!may_receive_call(version_rule_of(this->self, "board"), "v2", false));
+    merge_progress_list(this->self, completion);
+    merge_progress_list(this->self, withdrawal);
+    const version_rule rule = version_rule_of(this->self, "board");
+    BOOST_TEST(may_receive_call(rule, "v2", false));
+    BOOST_TEST(!may_receive_call(rule, "v1", false));
+    // The records may be read again from a point before the outcome.
+    this->self.config_replica.state.moves["board@1"].state = move_state::running;
+    handle_config_change(this->self);
+    BOOST_TEST(may_receive_call(version_rule_of(this->self, "board"), "v2", false));
+}
