Keep the upstream of a stopping daemon in service for the first two seconds

A stopping daemon now tells its peers and refuses calls for its upstream after 2 s, and before that refuses calls with more time left than the stop.

--- a/src/broadcast.cpp
+++ b/src/broadcast.cpp
@@ -159,8 +159,8 @@
 
 void announce_leaving(node& self)
 {
+    self.left = true;
     member_record record = describe_self(self);
-    record.state = member_state::leaving;
     publish_self(self.members, std::move(record), steady_now());
     self.pending.members.insert(self.config.id);
     flush(self);
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -32,9 +32,10 @@
 constexpr time_ms lease_check_interval_ms = 100;
 constexpr time_ms waiting_hop_check_interval_ms = 5;
 constexpr time_ms shutdown_check_interval_ms = 20;
-// Time for the last responses to reach their callers: 500 KB over 16 Mbit/s take 250 ms.
-constexpr time_ms response_delivery_ms = 500;
 constexpr time_ms log_flush_interval_ms = 100;
+// Time of a shutdown for which the upstream gets calls; what is left of readiness_propagation_ms is
+// enough for the leaving record to reach the peers.
+constexpr time_ms upstream_withdrawal_delay_ms = 2000;
 // Connections kept open to all peers; a closed one costs a handshake at its next use.
 constexpr long max_peer_connections = 1024;
 // Time for the leaving record to reach the failure domain, so that peers stop sending calls.
@@ -167,6 +168,16 @@
               {{"needs_restart", *config == initial_settings ? "no" : "yes"}});
 }
 
+/** Takes the upstream of this VM out of service and tells the peers of the shutdown. */
+void leave_members(node& self)
+{
+    if (self.sidecar_state)
+    {
+        refuse_waiting_calls(self, "this daemon is shutting down");
+    }
+    announce_leaving(self);
+}
+
 void start_shutdown(node& self)
 {
     if (self.leaving)
@@ -179,10 +190,18 @@
               {{"calls", static_cast<std::uint64_t>(calls_in_progress(self))}});
     if (self.sidecar_state)
     {
-        refuse_waiting_calls(self, "this daemon is shutting down");
         close_after_responses(*self.sidecar_state->outbound_server);
     }
-    announce_leaving(self);
+    if (self.sidecar_state && served_upstream_record(self))
+    {
+        // The daemon runs until its callers have noticed the shutdown. Its upstream may be the only
+        // one of its service, so it stays in service for most of that time.
+        run_after(*self.loop, upstream_withdrawal_delay_ms, [&self] { leave_members(self); });
+    }
+    else
+    {
+        leave_members(self);
+    }
     run_every(*self.loop, shutdown_check_interval_ms, [&self] { finish_shutdown(self); });
 }
 
@@ -244,7 +263,7 @@
                          .control_port = self.config.advertised_control_port,
                          .served_offset = self.config_replica.state.next_offset,
                          .served_version = self.config_replica.state.version};
-    record.state = self.leaving ? member_state::leaving : member_state::alive;
+    record.state = self.left ? member_state::leaving : member_state::alive;
     for (const auto& [key, upstream] : self.upstreams)
     {
         record.upstreams.push_back(upstream.record);
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -291,13 +291,19 @@
     {
         return "the upstream does not answer or has not announced itself in time";
     }
-    if (self.leaving)
+    if (self.left)
     {
         return "this daemon is shutting down";
     }
     return std::nullopt;
 }
 
+/** Time until the remaining calls are aborted in a planned shutdown. */
+time_ms shutdown_time_left(const node& self, time_ms now)
+{
+    return self.leaving_since + self.config.shutdown_timeout - response_delivery_ms - now;
+}
+
 /** Deducts the time that the request waited unread from the call's time limits. */
 void deduct_unread_time(node& self, const http_request& request, hop_terms& terms)
 {
@@ -351,6 +357,12 @@
         finish(self, std::move(created), not_run("the call's time was over before it was read"));
         return id;
     }
+    if (self.leaving && call.terms.time_left > shutdown_time_left(self, call.arrived_at))
+    {
+        finish(self, std::move(created),
+               not_run("this daemon is shutting down, and the call may outlast it"));
+        return id;
+    }
     if (is_quarantined(self.quarantine, call.fingerprint, wall_now()))
     {
         finish(self, std::move(created), not_run("the request is quarantined: it ended upstreams"));
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -187,6 +187,8 @@
     bool leaving = false;
     /** Steady time at which the planned shutdown started. */
     time_ms leaving_since = 0;
+    /** Peers have been told of the shutdown, and calls for upstreams of this VM are refused. */
+    bool left = false;
     bool drained = false;
 
     replica config_replica;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -197,7 +197,7 @@
 
 std::optional<upstream_record> served_upstream_record(const node& self)
 {
-    if (!self.sidecar_state->served || self.sidecar_state->served->down || self.leaving ||
+    if (!self.sidecar_state->served || self.sidecar_state->served->down || self.left ||
         self.drained)
     {
         return std::nullopt;
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -98,6 +98,10 @@
  * two readiness checks, one second apart, have failed. */
 inline constexpr time_ms readiness_propagation_ms = 2500;
 
+/** Time of a planned shutdown for the last responses to reach their callers: 500 KB over 16 Mbit/s
+ * take 250 ms. */
+inline constexpr time_ms response_delivery_ms = 500;
+
 /** Whether the daemon serves the callers of its VM. */
 bool is_sidecar(const node& self);
 
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -309,6 +309,41 @@
     BOOST_TEST((late.outcome == call_outcome::not_sent));
 }
 
+// Guards against a service that is refused while its only upstream and the daemon beside it run: a
+// daemon that is restarted took its upstream out of service at the first moment of its stop.
+BOOST_AUTO_TEST_CASE(only_upstream_of_a_service_is_served_during_a_planned_stop)
+{
+    constexpr time_ms served_for_ms = 1400;
+    rig::fleet fleet(SARDINEPOINT_BIN_DIR, "sidecar-only");
+    fleet.publish(1, {"board", "desk"});
+    rig::fleet_daemon& stopped = fleet.add("board");
+    rig::fleet_daemon& caller = fleet.add("desk");
+    BOOST_REQUIRE(fleet.wait_served("board", start_limit_ms));
+    stopped.upstream->processing_time = 100;
+    int open = 0;
+    int refused_early = 0;
+    int cut = 0;
+    const time_ms started = steady_now();
+    stopped.child_process->signal(SIGTERM);
+    while (stopped.child_process->is_running() && steady_now() - started < start_limit_ms)
+    {
+        const bool early = steady_now() - started < served_for_ms;
+        ++open;
+        fleet.start_call(caller, {},
+                         [&, early](const http_result& result)
+                         {
+                             --open;
+                             refused_early += early && result.response.status != 200 ? 1 : 0;
+                             cut += result.response.status != 200 && result.response.status != 503;
+                         });
+        fleet.run_for(50);
+    }
+    BOOST_TEST(stopped.child_process->wait() == 0);
+    BOOST_TEST(fleet.run_until(3000, [&] { return open == 0; }));
+    BOOST_TEST(refused_early == 0);
+    BOOST_TEST(cut == 0);
+}
+
 // Guards against calls that get no response because they outlast the shutdown timeout, at which the
 // platform kills the daemon.
 BOOST_FIXTURE_TEST_CASE(planned_stop_fails_calls_that_outlast_it, three_upstreams)
