Remember the departure of an upstream across a restart of its daemon

The member record now names the last upstream that left the VM. Peers keep it across incarnations of the member and hand it back with the answer to its first digest exchange. What all daemons forget at once (loss of power everywhere) is not covered; the upstreams start anew then.

--- a/include/sardinepoint/membership.hpp
+++ b/include/sardinepoint/membership.hpp
@@ -45,6 +45,17 @@
     time_ms service_time = 0;
 };
 
+/** One start of an upstream that is leaving or has left. */
+struct departed_instance
+{
+    /** Empty if there is none. */
+    std::string instance;
+    /** Incarnation of the start; 0 if the upstream announced none. */
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const departed_instance&) const = default;
+};
+
 /** For equal incarnation and sequence, a later value overrides an earlier one. */
 enum class member_state
 {
@@ -76,6 +87,8 @@
     std::uint64_t served_version = 0;
     member_state state = member_state::alive;
     std::vector<upstream_record> upstreams;
+    /** The last upstream that has left this VM. */
+    departed_instance departed;
 };
 
 /** A member's record with local data that is not sent to other daemons. */
@@ -90,6 +103,9 @@
     std::uint64_t version_hash = 0;
     /** Presumed lost because no peer can be reached. Never sent to others; see detector_tick. */
     bool presumed_lost = false;
+    /** The last departure in any record of the member. It outlasts a restart of the member, which
+     * forgets it and learns it from its peers. */
+    departed_instance departed;
 };
 
 /** Last version of a dead member, kept after its tombstone was dropped from the table. */
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -275,6 +275,7 @@
         {
             record.upstreams.push_back(std::move(*served));
         }
+        record.departed = last_departure(*self.sidecar_state);
     }
     return record;
 }
@@ -296,6 +297,7 @@
     const member_entry* published = find_member(self.members, self.config.id);
     const bool unchanged =
         published != nullptr && published->record.state == next.state &&
+        published->record.departed == next.departed &&
         std::equal(published->record.upstreams.begin(), published->record.upstreams.end(),
                    next.upstreams.begin(), next.upstreams.end(),
                    [&](const upstream_record& left, const upstream_record& right)
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -81,6 +81,10 @@
     std::uint64_t& bucket = table.buckets.at(bucket_index(entry.id_hash));
     bucket ^= entry.version_hash;
     entry.record = record;
+    if (!record.departed.instance.empty())
+    {
+        entry.departed = record.departed;
+    }
     entry.version_hash = version_hash_of(record, entry.id_hash);
     bucket ^= entry.version_hash;
     ++table.revision;
--- a/src/membership_json.cpp
+++ b/src/membership_json.cpp
@@ -230,6 +230,8 @@
     put_unless_default(object, "o", record.served_offset);
     put_unless_default(object, "v", record.served_version);
     put_unless_default(object, "s", static_cast<int>(record.state));
+    put_unless_default(object, "x", record.departed.instance);
+    put_unless_default(object, "y", record.departed.incarnation);
     if (!record.upstreams.empty())
     {
         json& upstreams = object["u"] = json::array();
@@ -261,6 +263,7 @@
     record.served_version = reader.counter("v");
     record.state = static_cast<member_state>(
         reader.number("s", static_cast<std::uint64_t>(member_state::dead)));
+    record.departed = {.instance = reader.text("x", false), .incarnation = reader.counter("y")};
     for (const json& item : reader.array("u"))
     {
         std::optional<upstream_record> upstream =
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -300,6 +300,7 @@
             .instance = std::string(instance),
             .incarnation = incarnation.value_or(static_cast<std::uint64_t>(wall_now())),
             .left_at = steady_now()};
+        publish_self_record(self);
         return;
     }
     // Running calls may finish, so the upstream is kept until its announcements stop.
@@ -309,6 +310,31 @@
     publish_self_record(self);
 }
 
+departed_instance last_departure(const sidecar& sidecar_state)
+{
+    if (sidecar_state.served && sidecar_state.served->announced.state != upstream_state::up)
+    {
+        return {.instance = sidecar_state.served->announced.instance,
+                .incarnation = sidecar_state.served->announced.incarnation};
+    }
+    if (sidecar_state.departed)
+    {
+        return {.instance = sidecar_state.departed->instance,
+                .incarnation = sidecar_state.departed->incarnation};
+    }
+    return {};
+}
+
+void learn_departure(node& self, const departed_instance& departed)
+{
+    // What this process has seen itself is newer.
+    const bool known = !last_departure(*self.sidecar_state).instance.empty();
+    if (!known && !departed.instance.empty() && departed.incarnation > 0)
+    {
+        handle_departure(self, departed.instance, departed.incarnation);
+    }
+}
+
 void mark_upstream_down(node& self, std::string_view reason)
 {
     if (!self.sidecar_state->served || self.sidecar_state->served->down)
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -130,6 +130,12 @@
 void handle_departure(node& self, std::string_view instance,
                       std::optional<std::uint64_t> incarnation);
 
+/** The upstream that is leaving or left last; none if the VM's upstream stays. */
+departed_instance last_departure(const sidecar& sidecar_state);
+
+/** Applies a departure that this daemon has told its peers before it was restarted. */
+void learn_departure(node& self, const departed_instance& departed);
+
 /** Marks the upstream as unavailable. It gets no calls until it announces itself again. */
 void mark_upstream_down(node& self, std::string_view reason);
 
--- a/src/sync.cpp
+++ b/src/sync.cpp
@@ -9,6 +9,7 @@
 #include "replica.hpp"
 #include "replica_messages.hpp"
 #include "replica_records.hpp"
+#include "sidecar.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -65,6 +66,17 @@
     return message;
 }
 
+/** Applies the departure of this VM's upstream that a peer remembers. */
+void merge_departure(node& self, const json& response)
+{
+    const auto departed = response.find("departed");
+    if (self.sidecar_state && departed != response.end() && departed->is_object())
+    {
+        learn_departure(self, {.instance = string_field(*departed, "instance"),
+                               .incarnation = unsigned_field(*departed, "incarnation")});
+    }
+}
+
 } // namespace
 
 void merge_crashes(node& self, const json& body)
@@ -89,6 +101,12 @@
     {
         response["contacts"] = contacts_json(self, string_field(body, "domain"));
     }
+    const member_entry* peer = find_member(self.members, string_field(body, "id"));
+    if (peer != nullptr && !peer->departed.instance.empty())
+    {
+        response["departed"] = {{"instance", peer->departed.instance},
+                                {"incarnation", peer->departed.incarnation}};
+    }
     response["moves"] = all_progress_json(self);
     response["crashes"] = crashes_json(self);
     const auto versions = body.find("domains");
@@ -129,6 +147,7 @@
                      if (response != nullptr)
                      {
                          self.peers_heard_at = steady_now();
+                         merge_departure(self, *response);
                          apply_records_message(self, *response, "peer " + to_string(peer));
                          if (!should_request_records(self))
                          {
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -453,6 +453,50 @@
                                }));
 }
 
+// Guards against an upstream that is used again although it has left: its daemon is restarted after
+// it acknowledged the departure, and an announcement from before arrives late.
+BOOST_FIXTURE_TEST_CASE(departed_upstream_stays_out_after_a_restart_of_its_daemon, three_upstreams)
+{
+    rig::fleet_daemon& restarted = this->daemon(2);
+    rig::fleet_upstream& left = *restarted.upstream;
+    left.sends_announcements = false;
+    BOOST_REQUIRE(this->deregister(restarted) == 200);
+    this->run_for(500); // until the peers know
+    restarted.child_process->signal(SIGKILL);
+    restarted.child_process->wait();
+    this->start(restarted);
+    int status = 0;
+    for (int i = 0; i < 100 && status != 200; ++i)
+    {
+        status = this->announce(restarted);
+        this->run_for(20);
+    }
+    BOOST_REQUIRE(status == 200);
+    BOOST_REQUIRE(
+        this->run_until(start_limit_ms, [&] { return this->ready_status(restarted) == 200; }));
+    this->received_requests.clear();
+    for (std::size_t i = 0; i < 60; ++i)
+    {
+        this->call(this->daemon(i % 3), {});
+    }
+    BOOST_TEST(this->received_requests.size() >= 60);
+    for (const rig::received_request& request : this->received_requests)
+    {
+        BOOST_TEST(request.instance != left.instance);
+    }
+    // A new incarnation of the upstream is served, even under the same instance id.
+    left.started_at = wall_now();
+    left.sequence = 0;
+    left.sends_announcements = true;
+    BOOST_TEST(this->announce(restarted) == 200);
+    BOOST_TEST(this->run_until(start_limit_ms,
+                               [&]
+                               {
+                                   this->call(restarted, {});
+                                   return this->received_requests.back().instance == left.instance;
+                               }));
+}
+
 // Guards against a daemon that serves no configuration, or an outdated one, because it starts
 // during an outage of the store.
 BOOST_FIXTURE_TEST_CASE(restarted_daemon_takes_the_configuration_from_its_peers, three_upstreams)
