--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -44,6 +44,8 @@
     {
         int fd;
 
+        explicit close_fd(int fd) : fd(fd) {}
+
         ~close_fd()
         {
             ::close(this->fd);
