Leave the own queue out when the wait at unseen instances is estimated

Its queue was taken, doubled, for that of all others, so twelve concurrent calls all queued there beside two free upstreams.

The own queue no longer counts, and a single report of another instance is no reason to prefer that instance to unknown ones. Test: placement-test own_queue_does_not_tell_the_wait_at_others; the sidecar test passes unchanged.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -70,13 +70,16 @@
 };
 
 std::vector<recent_report> recent_reports(std::span<const instance_view> views,
+                                          std::string_view own_member,
                                           const placement_options& options, double shortest,
                                           time_ms now)
 {
     std::vector<recent_report> reports;
     for (const instance_view& view : views)
     {
-        if (has_recent_report(view, options, now))
+        // The instance on the own VM gets the first calls of each burst, so its queue says little
+        // of the others.
+        if (view.member != own_member && has_recent_report(view, options, now))
         {
             reports.push_back({.log_service_time = std::log(std::max(
                                    estimate_service_time(view, options, shortest, now), 1.0)),
@@ -101,8 +104,9 @@
         weights += weight;
         wait += weight * report.wait;
     }
-    // Without reports of similar instances, no wait is assumed.
-    constexpr double no_wait_weight = 0.3;
+    // Without reports of similar instances, no wait is assumed. A single one is no reason to prefer
+    // its instance to unknown ones.
+    constexpr double no_wait_weight = 1;
     return wait / (weights + no_wait_weight);
 }
 
@@ -231,8 +235,9 @@
     std::optional<std::size_t> best;
     double best_cost = 0;
     const double shortest = shortest_service_time(views);
-    const group_knowledge group{.shortest_service_time = shortest,
-                                .reports = recent_reports(views, options, shortest, now)};
+    const group_knowledge group{
+        .shortest_service_time = shortest,
+        .reports = recent_reports(views, request.own_member, options, shortest, now)};
     for (const std::size_t i : candidates(views, request, options, now, rng))
     {
         const double cost = cost_of(views[i], request, options, group, now, rng);
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -159,6 +159,16 @@
     BOOST_TEST(place(views, tried) == "fast-3");
 }
 
+// Guards against a burst that queues at the upstream of its own VM beside free ones: its queue was
+// taken for that of all instances without reports.
+BOOST_AUTO_TEST_CASE(own_queue_does_not_tell_the_wait_at_others)
+{
+    std::vector<instance_view> views{
+        view_of("own", {.running = 10, .waiting = 3, .backlog = 60, .service_time = 100}, 1000),
+        view_of("other-1", {}, 0), view_of("other-2", {}, 0)};
+    BOOST_TEST(place(views, {}, {.own_member = "vm-own", .locality = "a"}) != "own");
+}
+
 // Guards against calls to an instance that doesn't answer, and against avoiding it after it does.
 BOOST_AUTO_TEST_CASE(instances_without_answers_are_avoided_for_a_while)
 {
