Review: end the stand-ins' process before their objects go

Cause: detached threads of the stand-ins could use objects of a deployment that was being destroyed, and a crash there would have hidden the result. Changed: the deployment ends its processes and then the script's.

--- a/review/standins/mesh.hh
+++ b/review/standins/mesh.hh
@@ -88,6 +88,9 @@
 
 inline record* the_record = nullptr;
 
+/** Exit status of the script; set by finish() and cannot_run(). */
+inline int exit_status = 2;
+
 inline void note(const std::string& text)
 {
     the_record->line(text);
@@ -1017,6 +1020,7 @@
         this->platform = std::make_unique<store>(address{ip, free_port({ip})});
     }
 
+    /** Ends all processes and then this one: the threads of the stand-ins may still run. */
     ~deployment()
     {
         for (const auto& each : this->machines)
@@ -1028,6 +1032,8 @@
             std::error_code ignored;
             std::filesystem::remove_all(this->folder, ignored);
         }
+        std::fflush(nullptr);
+        ::_exit(exit_status);
     }
 
     /** Ports are the same on all machines, as on the platform. */
@@ -1174,14 +1180,16 @@
 {
     note(std::string(broken ? "BROKEN: " : "held: ") + why);
     std::printf("%s%s\n", broken ? "BROKEN: " : "held: ", why.c_str());
-    return broken ? 1 : 0;
+    exit_status = broken ? 1 : 0;
+    return exit_status;
 }
 
 inline int cannot_run(const std::string& why)
 {
     note("can't run: " + why);
     std::printf("can't run: %s\n", why.c_str());
-    return 2;
+    exit_status = 2;
+    return exit_status;
 }
 
 } // namespace mesh
--- a/review/standins/silent_store.cc
+++ b/review/standins/silent_store.cc
@@ -9,12 +9,12 @@
     record lines(argv[1]);
     the_record = &lines;
     const bounds limits;
+    std::vector<std::unique_ptr<relay>> relays;
     deployment fleet("silent-store");
     fleet.add("duty-board", "tallinn-a");
     fleet.add("dispatch-desk", "tallinn-b");
     fleet.add("duty-board", "rakvere");
     fleet.add("dispatch-desk", "tallinn-a");
-    std::vector<std::unique_ptr<relay>> relays;
     for (const auto& each : fleet.machines)
     {
         const address at{each->ip, free_port({each->ip})};
