Review case 3: late liveness reports break off running work during a planned stop (LOST)

Cause: a daemon gives up the running idempotent requests of a server whose reports are late, without asking the server. Added: review/3 with its stand-in, late reports in the shared stand-ins; the case of the forgotten leaving makes room for it, the others move up.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,8 +4,8 @@
 export TROUBLE=${TROUBLE:-1}
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-[ -x target/sardinepointd ] && [ -x review/bin/forgotten_leaving ] || { echo "build first"; exit 2; }
-timeout -k 2 110 review/bin/forgotten_leaving "$here/record.txt"
+[ -x target/sardinepointd ] && [ -x review/bin/silent_store ] || { echo "build first"; exit 2; }
+timeout -k 2 110 review/bin/silent_store "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/standins/mesh.hh
+++ b/review/standins/mesh.hh
@@ -729,7 +729,14 @@
             {
                 while (this->announces)
                 {
-                    this->announce();
+                    if (this->report_delay_ms > 0)
+                    {
+                        this->announce_late();
+                    }
+                    else
+                    {
+                        this->announce();
+                    }
                     pause_ms(1500);
                 }
             })
@@ -765,6 +772,22 @@
                           this->announcement(++this->sequence, this->state));
     }
 
+    /** The report is written now and arrives report_delay_ms later. */
+    void announce_late()
+    {
+        const std::lock_guard lock(this->announcing);
+        std::thread(
+            [this, body = this->announcement(++this->sequence, this->state),
+             delay = this->report_delay_ms.load()]
+            {
+                pause_ms(delay);
+                note("a report of server " + this->instance + " arrives " + std::to_string(delay) +
+                     " ms late");
+                this->send("Heartbeat", this->instance, body);
+            })
+            .detach();
+    }
+
     /** Tells the daemon that it is draining; returns the status. */
     int drain()
     {
@@ -796,6 +819,7 @@
     }
 
     std::atomic<int> working{0};
+    std::atomic<std::int64_t> report_delay_ms{0};
 
 private:
     void serve(int fd)
