--- a/review/standins/mesh.hh
+++ b/review/standins/mesh.hh
@@ -28,6 +28,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -118,22 +119,28 @@
     return parsed;
 }
 
-inline std::uint16_t local_port(int fd)
+inline int random_number(int low, int high)
 {
-    sockaddr_in bound{};
-    socklen_t size = sizeof(bound);
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
-    return ntohs(bound.sin_port);
+    static std::mt19937 engine{std::random_device{}()};
+    return std::uniform_int_distribution<int>(low, high)(engine);
 }
 
-/** A port that is free at each of the addresses. */
+/** The loopback addresses of a run begin with this, so that runs side by side share no address. */
+inline const std::string& network()
+{
+    static const std::string prefix = "127." + std::to_string(random_number(10, 250)) + "." +
+                                      std::to_string(random_number(1, 250)) + ".";
+    return prefix;
+}
+
+/** A port that is free at each of the addresses, below those that the system gives to clients. */
 inline std::uint16_t free_port(const std::vector<std::string>& ips)
 {
     static std::set<std::uint16_t> taken;
     for (int attempt = 0; attempt < 200; ++attempt)
     {
         std::vector<int> fds;
-        std::uint16_t port = 0;
+        const auto port = static_cast<std::uint16_t>(random_number(20000, 32000));
         bool ok = true;
         for (const std::string& ip : ips)
         {
@@ -141,7 +148,6 @@
             fds.push_back(fd);
             const sockaddr_in wanted = to_sockaddr({ip, port});
             ok = ok && ::bind(fd, reinterpret_cast<const sockaddr*>(&wanted), sizeof(wanted)) == 0;
-            port = ok ? local_port(fd) : port;
         }
         for (const int fd : fds)
         {
@@ -1040,7 +1046,7 @@
             std::exit(2);
         }
         this->folder = pattern;
-        const std::string ip = "127.0.0.1";
+        const std::string ip = network() + "1";
         this->platform = std::make_unique<store>(address{ip, free_port({ip})});
     }
 
@@ -1068,7 +1074,7 @@
             std::vector<std::string> ips;
             for (int i = 1; i <= 8; ++i)
             {
-                ips.push_back("127.0.0." + std::to_string(10 + i));
+                ips.push_back(network() + std::to_string(10 + i));
             }
             for (int i = 0; i < 6; ++i)
             {
@@ -1078,7 +1084,7 @@
         auto created = std::make_unique<machine>();
         const std::size_t number = this->machines.size() + 1;
         created->name = "vm-" + std::to_string(number);
-        created->ip = "127.0.0." + std::to_string(10 + number);
+        created->ip = network() + std::to_string(10 + number);
         created->zone = zone;
         created->outbound = {created->ip, this->ports[0]};
         created->ready = {created->ip, this->ports[1]};
