Detect slow versions under little traffic, and while their calls run

Cause: a call was slow only above a threshold that each daemon learned for itself, on each route, from 100 calls of the old version. With 7 calls a second at a daemon the steps were over before. The logs show no suspicion at any step. Where the threshold was known, slow calls were counted when they ended, after the share had risen on the evidence of the fast ones.

Change: daemons without a threshold of their own send the old version's latencies with their evidence, and the aggregators answer with a threshold for the failure domain. Running calls count as slow once they exceed it. Steps wait until slow calls can have shown.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -121,6 +122,21 @@
 /** Whether a call of either version exceeds the current threshold. */
 bool is_slow(const slow_threshold& state, double latency_ms);
 
+/** The old version's answered calls on one route by bin of the latency histogram, counted by one
+ * proxy since the start of the move. */
+using latency_counts = std::map<int, std::uint64_t>;
+
+/** Adds the latency of a call that the old version answered. */
+void record_old_latency(latency_counts& counts, double latency_ms);
+
+/** Takes the maximum of each count, so duplicate and reordered reports have no effect. */
+void merge_latency_counts(latency_counts& into, const latency_counts& other);
+
+/** Slow threshold for proxies that have too few calls for one of their own; empty until the counts
+ * of all proxies together suffice. */
+std::optional<double>
+shared_slow_threshold(const std::map<std::string, latency_counts>& counts_by_proxy);
+
 // --- Verdict tests (plug-ins) ---------------------------------------------------------------
 
 /** Calls of both versions on one route within one interval, as Bernoulli trials. A hit is a call
@@ -260,6 +276,8 @@
     double share = 0;
     /** Fraction of busy slots at which an upstream counts as fully loaded. */
     double target_utilization = 0.9;
+    /** Number of upstreams to prefer at least, if the version has so many. */
+    int min_preferred = 1;
 };
 
 /** Number of the new version's upstreams to prefer, so that each of them is fully loaded. Calls
--- a/src/call_attempts.cpp
+++ b/src/call_attempts.cpp
@@ -109,6 +109,7 @@
                                    .status = result.response.status,
                                    .elapsed = elapsed,
                                    .crashed = result.crashed,
+                                   .counted_as_slow = call.counted_as_slow,
                                    .fingerprint = call.fingerprint});
 }
 
@@ -342,6 +343,23 @@
     send_response(*self.data_server, call.id, std::move(response));
 }
 
+void record_running_attempts(node& self)
+{
+    const time_ms now = steady_now();
+    for (auto& [id, call] : self.calls)
+    {
+        const bool running = call->forwarded || call->local_hop;
+        if (running && !call->counted_as_slow)
+        {
+            call->counted_as_slow =
+                record_running_attempt(self, {.service = call->service,
+                                              .route = call->route,
+                                              .version = call->version,
+                                              .elapsed = now - call->attempt_started});
+        }
+    }
+}
+
 void start_attempt(node& self, std::uint64_t id)
 {
     ingress_call& call = *find_call(self, id);
@@ -383,6 +401,7 @@
     call.target = *pick.target;
     call.tried.push_back(call.target.member);
     call.attempt_started = steady_now();
+    call.counted_as_slow = false;
     const time_ms timeout =
         attempt_timeout(time_left(call) - hop_margin, call.idempotent, call.may_have_run);
     if (call.target.member == self.config.id)
--- a/src/ingress.hpp
+++ b/src/ingress.hpp
@@ -33,6 +33,8 @@
     std::string version;
     endpoint_ref target;
     time_ms attempt_started = 0;
+    /** Whether a move has counted this attempt as slow while it runs. */
+    bool counted_as_slow = false;
     /** The attempt in progress: a request to another daemon, or a call on an upstream here. */
     std::optional<call_id> forwarded;
     std::optional<std::uint64_t> local_hop;
--- a/src/move.cpp
+++ b/src/move.cpp
@@ -122,7 +122,9 @@
     // Rounds down, because rounding up leaves two upstreams half full where one would be full, and
     // a load-dependent fault then appears only for seconds. Excess calls go to the other upstreams.
     const double needed = std::floor(busy_slots / filled_slots);
-    return static_cast<int>(std::clamp(needed, 1.0, static_cast<double>(input.upstreams)));
+    const int low = std::clamp(input.min_preferred, 1, input.upstreams);
+    return std::clamp(static_cast<int>(std::min<double>(needed, input.upstreams)), low,
+                      input.upstreams);
 }
 
 } // namespace sardinepoint
--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -1,8 +1,12 @@
+#include "call_attempts.hpp"
 #include "gateways.hpp"
 #include "move_internal.hpp"
 #include "move_json.hpp"
+#include "outbound.hpp"
+#include "peer_messages.hpp"
 #include "peering.hpp"
 #include "replica.hpp"
+#include "sidecar.hpp"
 
 #include "sardinepoint/logging.hpp"
 
@@ -26,6 +30,8 @@
 constexpr time_ms report_timeout_ms = 1000;
 // A report covers at most one report interval; the remaining 500 ms are for its delivery.
 constexpr time_ms evidence_lag_ms = 1500;
+// Bounds the time by which routes with slow calls delay each step.
+constexpr time_ms max_slow_call_delay_ms = 1000;
 constexpr std::size_t aggregators_per_move = 2;
 constexpr time_ms isolation_timeout_ms = 5000;
 constexpr time_ms max_log_age_ms = 10000;
@@ -47,9 +53,16 @@
         return;
     }
     tracked.sent_counters = tracked.own_counters;
-    const json message{{"id", self.config.id},
-                       {"move", move},
-                       {"proxies", {{proxy_name(self), to_json(tracked.own_counters)}}}};
+    json message{{"id", self.config.id},
+                 {"move", move},
+                 {"proxies", {{proxy_name(self), to_json(tracked.own_counters)}}}};
+    for (const auto& [route, counts] : tracked.old_latencies)
+    {
+        if (!tracked.slow_thresholds[route].threshold_ms)
+        {
+            message["latencies"][proxy_name(self)][route] = to_json(counts);
+        }
+    }
     for (const std::string& member : aggregators_of(self, move))
     {
         deliver_evidence(self, member, message);
@@ -76,6 +89,19 @@
     }
 }
 
+/** Computed once per interval, since each of the domain's proxies asks for them with its reports.
+ */
+void update_domain_thresholds(tracked_move& tracked)
+{
+    for (const auto& [route, counts_by_proxy] : tracked.proxy_latencies)
+    {
+        if (const auto threshold = shared_slow_threshold(counts_by_proxy))
+        {
+            tracked.domain_thresholds[route] = *threshold;
+        }
+    }
+}
+
 bool other_domains_unreachable(const tracked_move& tracked)
 {
     return !tracked.last_domain_reports.empty() &&
@@ -177,12 +203,28 @@
                        [service](const split_target& target) { return target.service == service; });
 }
 
+/** Time after which a slow call is known to be slow, on the route with the slowest calls. */
+time_ms slow_call_delay(const tracked_move& tracked)
+{
+    double delay = 0;
+    for (const auto& [route, threshold] : tracked.shared_thresholds)
+    {
+        delay = std::max(delay, threshold);
+    }
+    for (const auto& [route, threshold] : tracked.slow_thresholds)
+    {
+        delay = std::max(delay, threshold.threshold_ms.value_or(0));
+    }
+    return std::min(static_cast<time_ms>(delay), max_slow_call_delay_ms);
+}
+
 void decide(node& self, const move_record& record, tracked_move& tracked)
 {
     const move_spec& spec = record.spec;
     const auto& routes = self.config_replica.state.routes;
     const bool isolated = other_domains_unreachable(tracked);
-    const time_ms lag = spec.order > 0 ? order_evidence_lag_ms : evidence_lag_ms;
+    const time_ms lag =
+        (spec.order > 0 ? order_evidence_lag_ms : evidence_lag_ms) + slow_call_delay(tracked);
     const move_context context{
         .now = wall_now(),
         .log_available = freshness_age(self) < max_log_age_ms,
@@ -255,6 +297,7 @@
         return;
     }
     report_domain_sum(self, move, tracked);
+    update_domain_thresholds(tracked);
     const bool order_ended = record->spec.order > 0 && record->state != move_state::running;
     if (order_ended)
     {
@@ -276,6 +319,15 @@
 
 void tick_moves(node& self)
 {
+    if (self.moves->moves.empty())
+    {
+        return;
+    }
+    record_running_attempts(self);
+    if (is_sidecar(self))
+    {
+        record_running_calls(self);
+    }
     std::vector<std::string> ids;
     for (const auto& [id, tracked] : self.moves->moves)
     {
@@ -300,14 +352,22 @@
 {
     if (member == self.config.id)
     {
-        merge_evidence_report(self, message);
+        merge_slow_thresholds(self, string_field(message, "move"),
+                              merge_evidence_report(self, message));
         return;
     }
     if (const member_entry* entry = find_member(self.members, member))
     {
         count(self.stats, "evidence_sent");
         send_to_peer(self, control_endpoint(entry->record), "/peer/v1/evidence", message,
-                     report_timeout_ms, {});
+                     report_timeout_ms,
+                     [&self, move = string_field(message, "move")](const json* response)
+                     {
+                         if (response != nullptr)
+                         {
+                             merge_slow_thresholds(self, move, *response);
+                         }
+                     });
     }
 }
 
--- a/src/move_attempts.cpp
+++ b/src/move_attempts.cpp
@@ -20,20 +20,47 @@
     return new_version ? counters.to : counters.from;
 }
 
+/** The daemon's own threshold for the route, or else the one of the failure domain. */
+std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route)
+{
+    const auto own = tracked.slow_thresholds.find(route);
+    if (own != tracked.slow_thresholds.end() && own->second.threshold_ms)
+    {
+        return own->second.threshold_ms;
+    }
+    const auto shared = tracked.shared_thresholds.find(route);
+    return shared == tracked.shared_thresholds.end() ? std::nullopt : std::optional(shared->second);
+}
+
 void count_attempt(tracked_move& tracked, const attempt_evidence& attempt, bool new_version)
 {
-    version_counters& counters = counters_of(tracked, attempt.route, new_version);
-    slow_threshold& threshold = tracked.slow_thresholds[std::string(attempt.route)];
+    const std::string route(attempt.route);
+    version_counters& counters = counters_of(tracked, route, new_version);
     const auto latency = static_cast<double>(attempt.elapsed);
     const bool answered = attempt.outcome == run_outcome::answered;
     const bool failed = !answered || attempt.status >= first_server_error;
-    ++counters.calls;
     counters.failures += failed ? 1 : 0;
-    counters.slow += !answered || is_slow(threshold, latency) ? 1 : 0;
+    if (!attempt.counted_as_slow)
+    {
+        const auto threshold = slow_threshold_of(tracked, route);
+        ++counters.calls;
+        counters.slow += !answered || (threshold && latency > *threshold) ? 1 : 0;
+    }
     if (answered && !new_version)
     {
-        record_old_latency(threshold, latency);
+        record_old_latency(tracked.slow_thresholds[route], latency);
+        record_old_latency(tracked.old_latencies[route], latency);
+    }
+}
+
+/** Whether the version takes part in the move, and if so, whether it is the new one. */
+std::optional<bool> is_new_version(const move_spec& spec, std::string_view version)
+{
+    if (version == spec.to)
+    {
+        return true;
     }
+    return spec.from.empty() || version == spec.from ? std::optional(false) : std::nullopt;
 }
 
 /** Counts the pending crash of a request, if there is one, as a failure of its version. Called when
@@ -82,8 +109,8 @@
     {
         return;
     }
-    const bool new_version = attempt.version == record->spec.to;
-    if (!new_version && !record->spec.from.empty() && attempt.version != record->spec.from)
+    const auto new_version = is_new_version(record->spec, attempt.version);
+    if (!new_version)
     {
         return;
     }
@@ -94,7 +121,7 @@
     {
         const bool crashed_before = tracked->pending_crashes.contains(attempt.fingerprint);
         tracked->pending_crashes[attempt.fingerprint] = {.route = std::string(attempt.route),
-                                                         .on_new_version = new_version,
+                                                         .on_new_version = *new_version,
                                                          .since = steady_now()};
         if (crashed_before)
         {
@@ -107,7 +134,26 @@
     {
         attribute_crash(*tracked, attempt.fingerprint);
     }
-    count_attempt(*tracked, attempt, new_version);
+    count_attempt(*tracked, attempt, *new_version);
+}
+
+bool record_running_attempt(node& self, const attempt_evidence& attempt)
+{
+    const auto [record, tracked] = move_of_service(self, attempt.service);
+    if (record == nullptr || tracked->progress.withdrawn)
+    {
+        return false;
+    }
+    const auto new_version = is_new_version(record->spec, attempt.version);
+    const auto threshold = slow_threshold_of(*tracked, std::string(attempt.route));
+    if (!new_version || !threshold || static_cast<double>(attempt.elapsed) <= *threshold)
+    {
+        return false;
+    }
+    version_counters& counters = counters_of(*tracked, attempt.route, *new_version);
+    ++counters.calls;
+    ++counters.slow;
+    return true;
 }
 
 } // namespace sardinepoint
--- a/src/move_evidence.cpp
+++ b/src/move_evidence.cpp
@@ -19,6 +19,9 @@
 constexpr time_ms latency_window_ms = 30'000;
 /** With fewer samples, fewer than 5 calls lie above the 95th percentile. */
 constexpr std::uint64_t min_latency_samples = 100;
+/** With fewer samples, the 95th percentile is the maximum. A rough threshold weakens the comparison
+ * but keeps it fair, because both versions are judged by it. */
+constexpr std::uint64_t min_shared_samples = 20;
 
 void merge_counters(version_counters& into, const version_counters& other)
 {
@@ -127,4 +130,37 @@
     return state.threshold_ms && latency_ms > *state.threshold_ms;
 }
 
+void record_old_latency(latency_counts& counts, double latency_ms)
+{
+    static const latency_histogram bins = make_latency_histogram();
+    ++counts[bins.axis().index(latency_ms)];
+}
+
+void merge_latency_counts(latency_counts& into, const latency_counts& other)
+{
+    for (const auto& [bin, count] : other)
+    {
+        into[bin] = std::max(into[bin], count);
+    }
+}
+
+std::optional<double>
+shared_slow_threshold(const std::map<std::string, latency_counts>& counts_by_proxy)
+{
+    latency_histogram sum = make_latency_histogram();
+    for (const auto& [proxy, counts] : counts_by_proxy)
+    {
+        for (const auto& [bin, count] : counts)
+        {
+            // Peers may send any bin; those outside the range hold no latency.
+            if (bin >= -1 && bin <= sum.axis().size())
+            {
+                sum.at(bin) += count;
+            }
+        }
+    }
+    return sample_count(sum) < min_shared_samples ? std::nullopt
+                                                  : latency_quantile(sum, slow_quantile);
+}
+
 } // namespace sardinepoint
--- a/src/move_exchange.cpp
+++ b/src/move_exchange.cpp
@@ -158,12 +158,13 @@
     }
 }
 
-void merge_evidence_report(node& self, const json& message)
+json merge_evidence_report(node& self, const json& message)
 {
+    json response = json::object();
     const auto found = self.moves->moves.find(string_field(message, "move"));
     if (found == self.moves->moves.end())
     {
-        return;
+        return response;
     }
     tracked_move& tracked = found->second;
     merge_evidence(tracked.proxy_evidence, parse_evidence(object_or_empty(message, "proxies")));
@@ -176,6 +177,42 @@
             tracked.last_domain_reports[domain] = steady_now();
         }
     }
+    const json latencies = object_or_empty(message, "latencies");
+    for (const auto& [proxy, routes] : latencies.items())
+    {
+        if (!routes.is_object())
+        {
+            continue;
+        }
+        for (const auto& [route, counts] : routes.items())
+        {
+            merge_latency_counts(tracked.proxy_latencies[route][proxy],
+                                 parse_latency_counts(counts));
+            const auto threshold = tracked.domain_thresholds.find(route);
+            if (threshold != tracked.domain_thresholds.end())
+            {
+                response["slow_thresholds"][route] = threshold->second;
+            }
+        }
+    }
+    return response;
+}
+
+void merge_slow_thresholds(node& self, const std::string& move, const json& response)
+{
+    const auto found = self.moves->moves.find(move);
+    if (found == self.moves->moves.end())
+    {
+        return;
+    }
+    const json thresholds = object_or_empty(response, "slow_thresholds");
+    for (const auto& [route, threshold] : thresholds.items())
+    {
+        if (threshold.is_number())
+        {
+            found->second.shared_thresholds[route] = threshold.get<double>();
+        }
+    }
 }
 
 } // namespace sardinepoint
--- a/src/move_json.cpp
+++ b/src/move_json.cpp
@@ -54,6 +54,35 @@
     return totals;
 }
 
+json to_json(const latency_counts& counts)
+{
+    json pairs = json::array();
+    for (const auto& [bin, count] : counts)
+    {
+        pairs.push_back({bin, count});
+    }
+    return pairs;
+}
+
+latency_counts parse_latency_counts(const json& value)
+{
+    latency_counts counts;
+    if (!value.is_array())
+    {
+        return counts;
+    }
+    for (const json& pair : value)
+    {
+        const bool valid = pair.is_array() && pair.size() == 2 && pair[0].is_number_integer() &&
+                           pair[1].is_number_unsigned();
+        if (valid)
+        {
+            counts[pair[0].get<int>()] = pair[1].get<std::uint64_t>();
+        }
+    }
+    return counts;
+}
+
 json to_json(const move_progress& progress)
 {
     return {{"step", progress.step},
--- a/src/move_json.hpp
+++ b/src/move_json.hpp
@@ -14,6 +14,12 @@
 /** Inverse of to_json; skips routes with malformed counters. */
 evidence_totals parse_evidence_totals(const nlohmann::json& value);
 
+/** Encodes the counts as an array of pairs of bin and count. */
+nlohmann::json to_json(const latency_counts& counts);
+
+/** Inverse of to_json; skips malformed pairs. */
+latency_counts parse_latency_counts(const nlohmann::json& value);
+
 nlohmann::json to_json(const move_progress& progress);
 move_progress parse_progress(const nlohmann::json& value);
 
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -33,8 +33,12 @@
     evidence_totals own_counters;
     /** Counters as last sent to the aggregators. */
     evidence_totals sent_counters;
-    /** By route. */
+    /** Learned from this daemon's own calls, by route. */
     std::map<std::string, slow_threshold> slow_thresholds;
+    /** The old version's latencies at this daemon, by route. */
+    std::map<std::string, latency_counts> old_latencies;
+    /** Thresholds in milliseconds from the aggregators, used on routes without one of its own. */
+    std::map<std::string, double> shared_thresholds;
     /** By fingerprint of the crashed request. */
     std::map<std::uint64_t, pending_crash> pending_crashes;
     std::uint64_t calls = 0;
@@ -47,6 +51,10 @@
     // State of this daemon as aggregator or gateway.
     /** Counters of the proxies of this daemon's failure domain. */
     move_evidence proxy_evidence;
+    /** The old version's latencies at the proxies of this failure domain, by route and proxy. */
+    std::map<std::string, std::map<std::string, latency_counts>> proxy_latencies;
+    /** Thresholds in milliseconds from these latencies, by route. */
+    std::map<std::string, double> domain_thresholds;
     /** Sums over each failure domain. */
     move_evidence domain_sums;
     /** Steady time of the last evidence received from each other failure domain. */
@@ -79,12 +87,21 @@
     int status = 0;
     time_ms elapsed = 0;
     bool crashed = false;
+    /** Whether record_running_attempt has counted the attempt. */
+    bool counted_as_slow = false;
     std::uint64_t fingerprint = 0;
 };
 
 /** Counts an attempt if its service has a running or watched move. */
 void record_attempt_evidence(node& self, const attempt_evidence& attempt);
 
+/**
+ * Counts an attempt that still runs as slow if it has already taken longer than the slow threshold;
+ * returns whether it was counted. A slow version would otherwise appear sound for as long as its
+ * slow calls last, because only its fast calls end early.
+ */
+bool record_running_attempt(node& self, const attempt_evidence& attempt);
+
 /** Starts the timer for evidence reports and decisions. */
 void start_move_timer(node& self);
 
@@ -126,7 +143,10 @@
 /** Merges the sums sent by another domain's gateway and forwards them to the aggregators of
  * this daemon's domain. */
 void merge_shared_evidence(node& self, const nlohmann::json& message);
-/** Merges one move's evidence: counters of proxies, sums over failure domains, or both. */
-void merge_evidence_report(node& self, const nlohmann::json& message);
+/** Merges one move's evidence: counters of proxies, sums over failure domains, or both. Returns the
+ * response: slow thresholds for the proxy, if it reported latencies. */
+nlohmann::json merge_evidence_report(node& self, const nlohmann::json& message);
+/** Stores the slow thresholds of an aggregator's response. */
+void merge_slow_thresholds(node& self, const std::string& move, const nlohmann::json& response);
 
 } // namespace sardinepoint
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -222,11 +222,17 @@
     return call.idempotent && !is_quarantined_call(self, call) && acquire_retry(self, call);
 }
 
+/** Whether the call's upstream is slow because it started only recently. */
+bool runs_on_cold_upstream(node& self, const outbound_call& call)
+{
+    const instance_view* view = find_instance(self, call.service, call.instance);
+    return view != nullptr && steady_now() < view->cold_until;
+}
+
 void record_version_evidence(node& self, const outbound_call& call, const hop_report& report,
                              int status)
 {
-    const instance_view* view = find_instance(self, call.service, call.instance);
-    const bool cold = view != nullptr && steady_now() < view->cold_until;
+    const bool cold = runs_on_cold_upstream(self, call);
     record_attempt_evidence(self, {.service = call.service,
                                    .route = call.route,
                                    .version = call.version,
@@ -235,6 +241,7 @@
                                    // A cold upstream is slow in any version.
                                    .elapsed = cold ? 0 : report.upstream_time,
                                    .crashed = report.crashed,
+                                   .counted_as_slow = call.counted_as_slow,
                                    .fingerprint = call.fingerprint});
 }
 
@@ -442,6 +449,7 @@
     call.report_age = chosen->report_age;
     call.known_service_time = chosen->known_service_time;
     call.offered_at = steady_now();
+    call.counted_as_slow = false;
     call.tried.push_back(view.instance);
     ++call.offers;
     record_sent(view);
@@ -528,6 +536,27 @@
 
 } // namespace
 
+void record_running_calls(node& self)
+{
+    const time_ms now = steady_now();
+    const auto lag = static_cast<time_ms>(current_lag_ms(self.lag, now));
+    for (auto& [id, call] : self.sidecar_state->outbound)
+    {
+        const bool running = call->forwarded || call->inbound;
+        if (!running || call->counted_as_slow || runs_on_cold_upstream(self, *call))
+        {
+            continue;
+        }
+        // Only the time at the upstream counts, so the expected wait for a slot is deducted.
+        const time_ms wait = std::max<time_ms>(call->expected_wait, 0) + lag;
+        call->counted_as_slow =
+            record_running_attempt(self, {.service = call->service,
+                                          .route = call->route,
+                                          .version = call->version,
+                                          .elapsed = now - call->offered_at - wait});
+    }
+}
+
 void handle_outbound_request(node& self, request_id id, http_request request)
 {
     auto created = std::make_unique<outbound_call>();
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -51,6 +51,8 @@
     std::string instance;
     std::string version;
     time_ms offered_at = 0;
+    /** Whether a move has counted this attempt as slow while it runs. */
+    bool counted_as_slow = false;
     /** Age of the queue report that the last placement used; -1 without one. */
     time_ms report_age = -1;
     time_ms known_service_time = 0;
@@ -61,6 +63,9 @@
     std::optional<timer_id> deadline_timer;
 };
 
+/** Counts running attempts that are already slow as evidence for moves. */
+void record_running_calls(node& self);
+
 /** Handles a request received on the outbound listener. */
 void handle_outbound_request(node& self, request_id id, http_request request);
 
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -91,7 +91,7 @@
     }
     else if (path == "/peer/v1/evidence")
     {
-        merge_evidence_report(self, body);
+        result = merge_evidence_report(self, body);
     }
     else if (path != "/peer/v1/probe")
     {
--- a/test/move-test.cpp
+++ b/test/move-test.cpp
@@ -334,6 +334,27 @@
     BOOST_TEST(!is_slow(state, 200));
 }
 
+// Guards against a failure domain without a slow threshold although its proxies together have
+// answered enough calls, and against reports that count twice.
+BOOST_AUTO_TEST_CASE(slow_threshold_is_shared_by_proxies_with_few_calls)
+{
+    std::map<std::string, latency_counts> proxies;
+    for (int latency = 10; latency < 29; ++latency)
+    {
+        record_old_latency(proxies[std::to_string(latency % 4)], latency);
+    }
+    BOOST_TEST(!shared_slow_threshold(proxies));
+    merge_latency_counts(proxies["0"], latency_counts(proxies["0"]));
+    BOOST_TEST(!shared_slow_threshold(proxies));
+    record_old_latency(proxies["1"], 200);
+    const auto threshold = shared_slow_threshold(proxies);
+    BOOST_REQUIRE(threshold);
+    BOOST_TEST(*threshold >= 28);
+    BOOST_TEST(*threshold <= 28 * 1.12);
+    proxies["2"][100'000] = 1'000'000;
+    BOOST_TEST(*shared_slow_threshold(proxies) == *threshold);
+}
+
 // Guards against histograms of different proxies that can't be added.
 BOOST_AUTO_TEST_CASE(latency_histograms_can_be_merged)
 {
@@ -617,6 +638,24 @@
     BOOST_TEST(preferred_upstream_count(input) == 0);
 }
 
+// Guards against too few preferred upstreams to tell a slow one from a slow version.
+BOOST_AUTO_TEST_CASE(minimum_of_preferred_upstreams_is_kept)
+{
+    version_load input{.upstreams = 6,
+                       .slots_per_upstream = 15,
+                       .arrival_rate = 450,
+                       .mean_service_time = 100,
+                       .share = 2,
+                       .min_preferred = 4};
+    BOOST_TEST(preferred_upstream_count(input) == 4);
+    input.upstreams = 3;
+    BOOST_TEST(preferred_upstream_count(input) == 3);
+    input.upstreams = 200;
+    input.arrival_rate = 45'000;
+    input.share = 50;
+    BOOST_TEST(preferred_upstream_count(input) == 166);
+}
+
 // Guards against bench results that can't be reproduced from their seed, for example because they
 // depend on the number of threads.
 BOOST_AUTO_TEST_CASE(bench_depends_on_the_seed_only)
