Reject ids that are not UTF-8, and never throw while serialising JSON

Cause: the id became part of the member record, and json::dump() throws on such bytes, in a timer where nothing catches it. Related: deregistrations took the same way; keys and unreadable values of the store's records ended each daemon that read them, as to_log_record() quoted them in a JSON text; responses and peer messages used the same strict call.

Change: announcements and deregistrations with such an id get 400; detail::dump_json() replaces invalid bytes, and is used for everything that may hold foreign text.

--- a/src/call_keys.cpp
+++ b/src/call_keys.cpp
@@ -2,6 +2,7 @@
 
 #include "call_headers.hpp"
 #include "call_responses.hpp"
+#include "json_reader.hpp"
 
 #include "sardinepoint/logging.hpp"
 
@@ -146,7 +147,7 @@
         keys.push_back(to_string(issue_key(self.keys, wall_now())));
     }
     const nlohmann::json body{{"keys", keys}, {"expires_ms", key_lifetime}};
-    send_response(*self.data_server, id, json_response(200, body.dump()));
+    send_response(*self.data_server, id, json_response(200, detail::dump_json(body)));
 }
 
 void finish_key(node& self, const ingress_call& call, run_outcome outcome,
--- a/src/contacts.cpp
+++ b/src/contacts.cpp
@@ -1,6 +1,7 @@
 #include "contacts.hpp"
 
 #include "gateways.hpp"
+#include "json_reader.hpp"
 #include "peer_messages.hpp"
 #include "replica.hpp"
 #include "sync.hpp"
@@ -102,7 +103,7 @@
     const json body{{"id", self.config.id},
                     {"domain", self.config.domain},
                     {"control", to_string(own_control_endpoint(self))}};
-    append_record(self.log, stream, body.dump(), std::move(done));
+    append_record(self.log, stream, detail::dump_json(body), std::move(done));
 }
 
 /** Gateways repeat their announcements, because the log retains records for a limited time. */
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,5 +1,7 @@
 #include "sardinepoint/http.hpp"
 
+#include "json_reader.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -196,8 +198,7 @@
                                {{"kind", to_string(reason.kind)},
                                 {"message", reason.message},
                                 {"remedy", reason.remedy}}}};
-    return json_response(status,
-                         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return json_response(status, detail::dump_json(body));
 }
 
 } // namespace sardinepoint
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -13,7 +13,7 @@
 
 std::string truncated_dump(const nlohmann::json& value)
 {
-    std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = dump_json(value);
     if (text.size() > max_shown_value_bytes)
     {
         text.resize(max_shown_value_bytes);
@@ -24,6 +24,25 @@
 
 } // namespace
 
+std::string dump_json(const nlohmann::json& value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool is_utf8(std::string_view text)
+{
+    try
+    {
+        // Strict serialisation is the only check that the library offers.
+        static_cast<void>(nlohmann::json(text).dump());
+        return true;
+    }
+    catch (const nlohmann::json::type_error&)
+    {
+        return false;
+    }
+}
+
 std::optional<nlohmann::json> parse_json(std::string_view text, error_kind kind, error& reason)
 {
     nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
--- a/src/json_reader.hpp
+++ b/src/json_reader.hpp
@@ -14,6 +14,12 @@
 namespace sardinepoint::detail
 {
 
+/** Serialises a value. Bytes that are not UTF-8 are replaced; json::dump() would throw. */
+std::string dump_json(const nlohmann::json& value);
+
+/** Whether the text can be a JSON string without replacements. */
+bool is_utf8(std::string_view text);
+
 /** Parses JSON text; sets the reason and returns nullopt on a syntax error. */
 std::optional<nlohmann::json> parse_json(std::string_view text, error_kind kind, error& reason);
 
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "operator_api.hpp"
 
+#include "json_reader.hpp"
 #include "local_upstreams.hpp"
 #include "move_runtime.hpp"
 #include "patch_submission.hpp"
@@ -121,25 +122,26 @@
         return;
     }
     const json response_body{{"lease_ms", *lease}};
-    send_response(*self.control_server, id, json_response(200, response_body.dump()));
+    send_response(*self.control_server, id, json_response(200, detail::dump_json(response_body)));
 }
 
 void forward_drain(node& self, request_id id, const member_record& member, const json& body)
 {
-    send_to_peer(
-        self, control_endpoint(member), "/v1/drain", body, drain_timeout_ms,
-        [&self, id, name = member.id](const json* response_body)
-        {
-            if (response_body != nullptr)
-            {
-                send_response(*self.control_server, id, json_response(200, response_body->dump()));
-                return;
-            }
-            send_response(*self.control_server, id,
-                          error_response(502, {error_kind::unreachable,
-                                               "daemon '" + name + "' can't be reached",
-                                               "name its own control endpoint with --daemon"}));
-        });
+    send_to_peer(self, control_endpoint(member), "/v1/drain", body, drain_timeout_ms,
+                 [&self, id, name = member.id](const json* response_body)
+                 {
+                     if (response_body != nullptr)
+                     {
+                         send_response(*self.control_server, id,
+                                       json_response(200, detail::dump_json(*response_body)));
+                         return;
+                     }
+                     send_response(
+                         *self.control_server, id,
+                         error_response(502, {error_kind::unreachable,
+                                              "daemon '" + name + "' can't be reached",
+                                              "name its own control endpoint with --daemon"}));
+                 });
 }
 
 void handle_drain_request(node& self, request_id id, const json& body)
@@ -153,7 +155,8 @@
     {
         set_drained(self, undo == body.end() || !undo->is_boolean() || !undo->get<bool>());
         const json response_body{{"member", member}, {"state", self.drained ? "draining" : "up"}};
-        send_response(*self.control_server, id, json_response(200, response_body.dump()));
+        send_response(*self.control_server, id,
+                      json_response(200, detail::dump_json(response_body)));
         return;
     }
     if (const member_entry* entry = find_member(self.members, member))
@@ -227,11 +230,13 @@
     }
     else if (path == "/v1/status")
     {
-        send_response(*self.control_server, id, json_response(200, status_view(self).dump()));
+        send_response(*self.control_server, id,
+                      json_response(200, detail::dump_json(status_view(self))));
     }
     else if (path == "/v1/config")
     {
-        send_response(*self.control_server, id, json_response(200, config_view(self).dump()));
+        send_response(*self.control_server, id,
+                      json_response(200, detail::dump_json(config_view(self))));
     }
     else if (path == "/v1/watch")
     {
--- a/src/patch_submission.cpp
+++ b/src/patch_submission.cpp
@@ -1,5 +1,6 @@
 #include "patch_submission.hpp"
 
+#include "json_reader.hpp"
 #include "replica.hpp"
 
 #include "sardinepoint/logging.hpp"
@@ -55,7 +56,7 @@
                     {"id", outcome.id},
                     {"version", outcome.version},
                     {"offset", outcome.offset}};
-    return json_response(200, body.dump());
+    return json_response(200, detail::dump_json(body));
 }
 
 error unknown_outcome_error(const std::string& id, const std::string& why)
@@ -170,7 +171,7 @@
     if (dry_run)
     {
         const json body{{"result", "valid"}, {"id", change->id}, {"version", config.state.version}};
-        respond(json_response(200, body.dump()));
+        respond(json_response(200, detail::dump_json(body)));
         return;
     }
     append_record(
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -1,5 +1,7 @@
 #include "peer_messages.hpp"
 
+#include "json_reader.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -21,7 +23,7 @@
 
 std::uint64_t hash_json(const json& value)
 {
-    return detail::hash_of(value.dump());
+    return detail::hash_of(detail::dump_json(value));
 }
 
 std::string string_field(const json& body, const char* key)
@@ -49,7 +51,7 @@
     send_request(*self.control_client,
                  {.method = "POST",
                   .url = "http://" + to_string(control) + std::string(path),
-                  .body = body.dump(),
+                  .body = detail::dump_json(body),
                   .timeout = timeout,
                   .connect_timeout = timeout},
                  [done = std::move(done)](const http_result& result)
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -2,6 +2,7 @@
 
 #include "contacts.hpp"
 #include "gateways.hpp"
+#include "json_reader.hpp"
 #include "member_exchange.hpp"
 #include "move_runtime.hpp"
 #include "probing.hpp"
@@ -100,7 +101,7 @@
                                      "run the same release on all daemons"}));
         return;
     }
-    respond(json_response(200, result.dump()));
+    respond(json_response(200, detail::dump_json(result)));
 }
 
 } // namespace sardinepoint
--- a/src/probing.cpp
+++ b/src/probing.cpp
@@ -1,6 +1,7 @@
 #include "probing.hpp"
 
 #include "broadcast.hpp"
+#include "json_reader.hpp"
 #include "peer_messages.hpp"
 
 #include "sardinepoint/logging.hpp"
@@ -77,7 +78,7 @@
                  [respond](const json* response)
                  {
                      const json result{{"ok", response != nullptr}};
-                     respond(json_response(200, result.dump()));
+                     respond(json_response(200, detail::dump_json(result)));
                  });
 }
 
--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fleet_words.hpp"
+#include "json_reader.hpp"
 #include "rig/loop.hpp"
 #include "rig/store.hpp"
 
@@ -200,6 +201,37 @@
     BOOST_TEST(!reason.message.empty());
 }
 
+// Guards against an id that other daemons can't be told, because messages between them are JSON.
+BOOST_AUTO_TEST_CASE(ids_that_are_not_utf8_are_rejected)
+{
+    for (const std::string_view id : {"\xff\xfe", "i-\xc3", "i-\xe2\x82", "\xc0\xaf"})
+    {
+        error reason;
+        BOOST_TEST(!fleet::decode_announcement(id, valid_announcement().dump(), reason));
+        BOOST_TEST(!reason.remedy.empty());
+    }
+    error reason;
+    BOOST_TEST(fleet::check_instance_id("i-\xc3\xa9", reason));
+}
+
+// Guards against a record of another writer whose bytes end the daemons that read it: its key or
+// the parser's message, which quotes them, becomes part of a JSON text.
+BOOST_AUTO_TEST_CASE(records_that_are_not_utf8_are_malformed)
+{
+    for (const fleet::keyed_record& record :
+         {fleet::keyed_record{"rollout/board", "{\"Service\": \"\xff\xfe\"}", 3},
+          fleet::keyed_record{"config", "\xff", 3}, fleet::keyed_record{"\xff\xfe", "x", 3}})
+    {
+        config_state state{.version = 7, .next_offset = 3};
+        const fold_result folded = fold_record(state, fleet::to_log_record(record, 0));
+        const bool known_key = detail::is_utf8(record.key);
+        BOOST_TEST(
+            (folded.kind == (known_key ? fold_kind::malformed : fold_kind::outcome_ignored)));
+        BOOST_TEST(state.version == 7U);
+        BOOST_TEST(state.next_offset == 4U);
+    }
+}
+
 // Guards against applying an announcement that arrives late or comes from an earlier incarnation.
 BOOST_AUTO_TEST_CASE(outdated_announcements_are_ignored)
 {
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -5,6 +5,8 @@
 #include "rig/fleet.hpp"
 #include "rig/mesh.hpp"
 
+#include "sardinepoint/connection_pool.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -454,6 +456,55 @@
                                }));
 }
 
+// Guards against an id in a request path that ends the daemon, and with it all calls that it holds,
+// because the id can't be sent to other daemons.
+BOOST_FIXTURE_TEST_CASE(unreadable_id_does_not_end_the_daemon, three_upstreams)
+{
+    rig::fleet_daemon& receiver = this->daemon(0);
+    std::vector<int> statuses;
+    for (const auto& daemon : this->daemons)
+    {
+        daemon->upstream->processing_time = 500;
+    }
+    for (int i = 0; i < 6; ++i)
+    {
+        this->start_call(receiver, {},
+                         [&](const http_result& result)
+                         { statuses.push_back(result.response.status); });
+    }
+    const json announcement{{"Service", "board"},
+                            {"Addr", to_string(receiver.upstream->address)},
+                            {"Zone", "zone-a"},
+                            {"Version", "v1"},
+                            {"Slots", 4},
+                            {"State", "ready"},
+                            {"ColdLeft", "0ms"},
+                            {"Seq", 1},
+                            {"born", receiver.upstream->started_at + 1}};
+    // libcurl would encode the bytes of the id.
+    const connection_pool_ptr pool = open_connection_pool(*this->loop);
+    for (const std::string path : {"/api/Instances.Heartbeat/", "/api/Instances.Deregister/"})
+    {
+        int status = 0;
+        send_request(*pool,
+                     {.peer = receiver.announcements,
+                      .method = "POST",
+                      .target = path + "i-\xff\xfe",
+                      .headers = {{"Host", to_string(receiver.announcements)}},
+                      .body = announcement.dump()},
+                     [&](const http_result& result) { status = result.response.status; });
+        BOOST_TEST(this->run_until(1000, [&] { return status > 0; }));
+        BOOST_TEST(status == 400);
+    }
+    BOOST_TEST(this->run_until(2000, [&] { return statuses.size() == 6; }));
+    for (const int status : statuses)
+    {
+        BOOST_TEST(status == 200);
+    }
+    BOOST_TEST(receiver.child_process->is_running());
+    BOOST_TEST(this->announce(receiver) == 200);
+}
+
 // Guards against an upstream that is used again although it has left: its daemon is restarted after
 // it acknowledged the departure, and an announcement from before arrives late.
 BOOST_FIXTURE_TEST_CASE(departed_upstream_stays_out_after_a_restart_of_its_daemon, three_upstreams)
