Leave connections that may have gone silent after a timeout, and read the log again at once

Cause: three waits in a row. The long poll on a silent connection takes 3 s; a failed read waits 0.5 to 1 s; and the next read could take another connection from before the silence. connection_pool closes idle connections to a peer after a failure, the HTTP client for the store and for messages between daemons did not.

--- a/include/sardinepoint/http_client.hpp
+++ b/include/sardinepoint/http_client.hpp
@@ -50,6 +50,8 @@
      * disables it.
      */
     time_ms stall_timeout = 0;
+    /** A connection that was idle for longer isn't reused; rounded down to whole seconds. */
+    time_ms max_connection_idle = 30'000;
     /** Whether the client itself may resend the request. */
     bool retryable = true;
 };
--- a/include/sardinepoint/log_client.hpp
+++ b/include/sardinepoint/log_client.hpp
@@ -41,6 +41,8 @@
 struct read_result
 {
     bool ok = false;
+    /** The log did not respond in time, possibly because the connection is silent. */
+    bool timed_out = false;
     /** The requested offset is below that of the oldest record kept. */
     bool expired = false;
     /** Offset of the oldest record kept. */
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -4,7 +4,11 @@
 
 #include <algorithm>
 #include <cstring>
+#include <functional>
+#include <map>
 #include <mutex>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -14,7 +18,7 @@
 namespace
 {
 
-constexpr long max_idle_s = 30;
+constexpr time_ms ms_per_second = 1000;
 
 struct curl_easy_deleter
 {
@@ -32,9 +36,20 @@
     }
 };
 
+/** A peer that did not answer a call in time. */
+struct unanswered_call
+{
+    /** Steady times at which the call was sent and timed out. */
+    time_ms sent_at = 0;
+    time_ms timed_out_at = 0;
+    /** Whether the peer has answered a call that was sent after the timeout. */
+    bool answered_since = false;
+};
+
 struct active_call
 {
     std::uint64_t id = 0;
+    time_ms sent_at = 0;
     http_call call;
     std::function<void(http_result)> done;
     http_result result;
@@ -108,6 +123,8 @@
     timer_id timer;
     std::uint64_t last_id = 0;
     std::uint64_t bytes = 0;
+    /** The latest call that timed out, by peer. */
+    std::map<std::string, unanswered_call, std::less<>> unanswered;
 };
 
 namespace
@@ -166,6 +183,56 @@
     result.response = {};
 }
 
+/** Scheme, host and port of a URL. */
+std::string_view peer_of(std::string_view url)
+{
+    const std::size_t host = url.find("://");
+    return host == std::string_view::npos ? url : url.substr(0, url.find('/', host + 3));
+}
+
+void record_timeout(http_client& client, const active_call& call)
+{
+    const std::string_view peer = peer_of(call.call.url);
+    const auto found = client.unanswered.find(peer);
+    if (call.result.timed_out && call.result.outcome == call_outcome::unknown)
+    {
+        client.unanswered[std::string(peer)] = {.sent_at = call.sent_at,
+                                                .timed_out_at = steady_now()};
+    }
+    else if (found != client.unanswered.end() && call.result.outcome == call_outcome::answered &&
+             call.sent_at >= found->second.timed_out_at)
+    {
+        found->second.answered_since = true;
+    }
+}
+
+/**
+ * Connections can go silent without a reset. After a timeout, the calls to the peer use none that
+ * was open when the unanswered call was sent: it would cost each of them another timeout.
+ */
+void avoid_silent_connections(http_client& client, CURL* handle, const active_call& call)
+{
+    const auto found = client.unanswered.find(peer_of(call.call.url));
+    if (found == client.unanswered.end())
+    {
+        return;
+    }
+    if (!found->second.answered_since)
+    {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        return;
+    }
+    const time_ms age = call.sent_at - found->second.sent_at;
+    if (age > call.call.max_connection_idle)
+    {
+        client.unanswered.erase(found);
+        return;
+    }
+    // libcurl compares whole seconds, and 0 would disable the limit.
+    const long max_age_s = std::max<long>(1, age / ms_per_second - 1);
+    curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN, max_age_s);
+}
+
 void finish_call(http_client& client, CURL* handle, CURLcode code)
 {
     const auto id = client.ids.find(handle);
@@ -177,6 +244,7 @@
     client.ids.erase(id);
     std::unique_ptr<active_call> call = std::move(entry.mapped());
     classify_result(handle, code, call->result);
+    record_timeout(client, *call);
     count_bytes(client, handle, *call);
     curl_multi_remove_handle(client.multi, handle);
     call->handle.reset();
@@ -306,13 +374,14 @@
     {
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
-                         std::max<long>(1, call.call.stall_timeout / 1000));
+                         std::max<long>(1, call.call.stall_timeout / ms_per_second));
     }
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      std::max<long>(1, call.call.connect_timeout));
     // Shorter than the idle timeout of the servers: whether a request sent on a closing connection
     // was executed is unknown.
-    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, max_idle_s);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(call.call.max_connection_idle / ms_per_second));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &write_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &write_header);
@@ -362,12 +431,14 @@
     auto created = std::make_unique<active_call>();
     active_call& active = *created;
     active.id = ++client.last_id;
+    active.sent_at = steady_now();
     active.call = std::move(call);
     active.done = std::move(done);
     active.max_body_bytes = client.options.max_body_bytes;
     active.handle.reset(curl_easy_init());
     CURL* handle = active.handle.get();
     set_options(handle, active);
+    avoid_silent_connections(client, handle, active);
     if (!client.options.local_address.empty())
     {
         const std::string interface = "host!" + client.options.local_address;
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -66,7 +66,7 @@
 
 read_result parse_read_response(const http_result& call_result)
 {
-    read_result result{.reason = call_result.reason};
+    read_result result{.timed_out = call_result.timed_out, .reason = call_result.reason};
     if (call_result.outcome != call_outcome::answered)
     {
         return result;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -96,8 +96,14 @@
     replica& config = self.config_replica;
     if (!result.ok)
     {
+        const bool was_reachable = config.log_reachable;
         update_log_reachability(self, false, result.reason);
         schedule_read_retry(self);
+        if (result.timed_out && was_reachable)
+        {
+            // The connection may have gone silent while the log works; the next read opens another.
+            config.next_read = steady_now();
+        }
         return;
     }
     update_log_reachability(self, true, "");
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -134,9 +134,10 @@
          << "\nadvertised_control_port = " << daemon.relayed_control_port
          << "\nadvertised_data_port = " << daemon.relayed_data_port
          << "\nshutdown_timeout_ms = 6s\nplatform = fleet\n[log]\nendpoint = "
-         << to_string(self.store.address())
-         << "\npoll_wait_ms = 500\ntimeout_ms = 300\npush_records = false\nreaders = "
-         << self.readers << "\n[peers]\nlone_domain = true\n"
+         << to_string(self.relayed_store.value_or(self.store.address()))
+         << "\npoll_wait_ms = " << self.store_poll_wait << "\ntimeout_ms = " << self.store_timeout
+         << "\npush_records = false\nreaders = " << self.readers
+         << "\n[peers]\nlone_domain = true\n"
          << "seeds = " << to_string(seed_of(self))
          << "\n[sidecar]\noutbound = " << to_string(daemon.outbound)
          << "\nreadiness = " << to_string(daemon.readiness)
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -96,6 +96,12 @@
     std::uint64_t last_call = 0;
     /** Setting of daemons added later: how many daemons read the store and inform the others. */
     int readers = 100;
+    /** Settings of daemons added later: how long the store may hold a read back, and the additional
+     * time for its response. */
+    time_ms store_poll_wait = 500;
+    time_ms store_timeout = 300;
+    /** Address of the store for daemons added later; empty for its own. */
+    std::optional<endpoint> relayed_store;
     /** Keeps logs and settings at the end, like the environment variable KEEP_RIG. */
     bool keep_files = false;
     /** Timeout of routes that are published later. */
--- a/support/rig/relay.cpp
+++ b/support/rig/relay.cpp
@@ -36,6 +36,8 @@
     std::string target;
     relay_direction forward;
     relay_direction backward;
+    /** Nothing is forwarded any more, without a reset. */
+    bool silent = false;
 };
 
 namespace
@@ -59,8 +61,9 @@
 bool is_held(const relay& self, const relay_connection& connection, bool forward)
 {
     const relay_rule* rule = find_rule(self, connection.source, connection.target);
-    return rule != nullptr && (rule->action == relay_action::hold ||
-                               (rule->action == relay_action::hold_responses && !forward));
+    return connection.silent ||
+           (rule != nullptr && (rule->action == relay_action::hold ||
+                                (rule->action == relay_action::hold_responses && !forward)));
 }
 
 void close_connection(relay& self, std::uint64_t id)
@@ -307,6 +310,18 @@
     }
 }
 
+void silence_connections(relay& self, const std::string& name)
+{
+    for (const auto& [id, connection] : self.connections)
+    {
+        if (connection->target == name)
+        {
+            connection->silent = true;
+            update_watches(self, id);
+        }
+    }
+}
+
 relay::relay(event_loop& loop) : loop(&loop) {}
 
 relay::~relay()
--- a/support/rig/relay.hpp
+++ b/support/rig/relay.hpp
@@ -64,4 +64,7 @@
 /** Closes the open connections of a forward with a TCP reset. */
 void reset_connections(relay& self, const std::string& name);
 
+/** Forwards nothing more on the open connections of a forward; new ones work. */
+void silence_connections(relay& self, const std::string& name);
+
 } // namespace sardinepoint::rig
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -1282,3 +1282,61 @@
                                { return status_of(*daemon).value("log", "") == "reachable"; });
         }));
 }
+
+namespace
+{
+
+/** Four daemons behind a relay to the store, with the read times of the deployment. */
+struct silenced_store : rig::fleet
+{
+    silenced_store() : rig::fleet(SARDINEPOINT_BIN_DIR, "sidecar-silenced")
+    {
+        this->relay.emplace(*this->loop);
+        const int port = add_forward(*this->relay, this->store.address(), "store");
+        this->relayed_store = endpoint{"127.0.0.1", static_cast<std::uint16_t>(port)};
+        this->readers = 2;
+        this->store_poll_wait = 1500;
+        this->store_timeout = 1000;
+        this->publish(1, {"board"});
+        constexpr int daemon_count = 4;
+        for (int i = 0; i < daemon_count; ++i)
+        {
+            this->add("board");
+        }
+        BOOST_REQUIRE(this->wait_served("board", start_limit_ms));
+        BOOST_REQUIRE(this->wait_members(daemon_count, start_limit_ms));
+    }
+};
+
+} // namespace
+
+// Guards against daemons that follow an old configuration because their connections to the store
+// went silent: each further call took another silent connection and waited for its timeout.
+BOOST_FIXTURE_TEST_CASE(change_is_read_after_connections_to_the_store_go_silent, silenced_store)
+{
+    constexpr time_ms stable_window_ms = 3000;
+    constexpr time_ms change_after_ms = 250;
+    int version = 1;
+    for (const time_ms pause : {5000, 400, 900, 1700})
+    {
+        this->run_for(pause);
+        silence_connections(*this->relay, "store");
+        const time_ms silent_since = steady_now();
+        this->run_for(change_after_ms);
+        this->publish(++version, {"board"});
+        BOOST_TEST(this->run_until(silent_since + stable_window_ms - steady_now(),
+                                   [&]
+                                   {
+                                       return std::all_of(this->daemons.begin(),
+                                                          this->daemons.end(),
+                                                          [&](const auto& daemon) {
+                                                              return three_readers::serves_version(
+                                                                  *daemon, version);
+                                                          });
+                                   }),
+                   "version " << version);
+        BOOST_REQUIRE(this->run_until(
+            start_limit_ms,
+            [&] { return three_readers::serves_version(*this->daemons.back(), version); }));
+    }
+}
