Let running calls go on when announcements are late

Cause: an upstream whose announcements were late was marked as down without being asked, and its idempotent calls were cancelled. A frozen daemon did the same when it went on.

Change: late announcements only keep new calls away.

--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -49,6 +49,8 @@
     /** The upstream is unavailable until its next announcement: it refused a connection, didn't
      * respond, or stopped announcing itself. */
     bool down = false;
+    /** Whether it is down only because its announcements stopped; it may still run calls. */
+    bool silent = false;
     /** Time of the last connection probe that was sent because no call had ended. */
     time_ms probed_at = 0;
     admission_queue queue;
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -347,6 +347,29 @@
     BOOST_TEST(cut == 0);
 }
 
+// Guards against a call that is given up during a planned stop of its caller's daemon although its
+// upstream works on it: the daemon beside the upstream took late announcements for a failure.
+BOOST_AUTO_TEST_CASE(late_announcements_end_no_running_call)
+{
+    constexpr time_ms processing_time_ms = 2500;
+    constexpr time_ms deadline_ms = 6000;
+    rig::fleet fleet(SARDINEPOINT_BIN_DIR, "sidecar-late");
+    fleet.route_timeout = deadline_ms;
+    fleet.publish(1, {"board", "desk"});
+    rig::fleet_daemon& runner = fleet.add("board");
+    rig::fleet_daemon& caller = fleet.add("desk");
+    BOOST_REQUIRE(fleet.wait_served("board", start_limit_ms));
+    runner.upstream->processing_time = processing_time_ms;
+    std::optional<int> status;
+    fleet.start_call(caller, {.deadline = deadline_ms, .id = "long"},
+                     [&](const http_result& result) { status = result.response.status; });
+    BOOST_REQUIRE(fleet.run_until(1000, [&] { return fleet.run_count("long") == 1; }));
+    runner.upstream->sends_announcements = false;
+    caller.child_process->signal(SIGTERM);
+    BOOST_REQUIRE(fleet.run_until(deadline_ms, [&] { return status.has_value(); }));
+    BOOST_TEST(*status == 200);
+}
+
 // Guards against daemons that learn the speed of an upstream only from their own calls: one that
 // has just joined sends its first calls to the fast upstream.
 BOOST_AUTO_TEST_CASE(service_times_reach_daemons_without_calls)
