Reject announcements and deregistrations whose numbers are not whole

Cause: the JSON library turns fractions and booleans into whole numbers. A foreign announcement with a start time in microseconds and a fraction counted as a later start, and all real announcements as outdated.

A deregistration with an unreadable start time or body is rejected too; it had counted as one without a start time.

New cases of unreadable_announcements_are_rejected and unreadable_deregistrations_are_rejected; these were not run on the old code.

--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -136,6 +136,36 @@
      {
          body.erase("Seq");
      }},
+    {"sequence as fraction",
+     [](json& body)
+     {
+         body["Seq"] = 4.5;
+     }},
+    {"sequence as boolean",
+     [](json& body)
+     {
+         body["Seq"] = true;
+     }},
+    {"negative slots",
+     [](json& body)
+     {
+         body["Slots"] = -1;
+     }},
+    {"slots beyond the range",
+     [](json& body)
+     {
+         body["Slots"] = 1ULL << 33U;
+     }},
+    {"start time as fraction",
+     [](json& body)
+     {
+         body["born"] = 1700000000000000.5;
+     }},
+    {"start time as text",
+     [](json& body)
+     {
+         body["born"] = "1700000000000";
+     }},
     {"cold time as number",
      [](json& body)
      {
@@ -201,6 +231,21 @@
     BOOST_TEST(!reason.message.empty());
 }
 
+// Guards against a deregistration of another writer that takes a sound upstream out of service.
+BOOST_AUTO_TEST_CASE(unreadable_deregistrations_are_rejected)
+{
+    for (const char* body : {R"({"born":1700000000000.5})", R"({"born":true})",
+                             R"({"born":"1700000000000"})", R"({"born":)", "[]", "7"})
+    {
+        error reason;
+        BOOST_TEST(!fleet::decode_departure("i-1", body, reason), body);
+        BOOST_TEST(!reason.remedy.empty());
+    }
+    error reason;
+    BOOST_TEST(!fleet::decode_departure("i-1", "", reason)->incarnation);
+    BOOST_TEST(*fleet::decode_departure("i-1", R"({"born":7})", reason)->incarnation == 7U);
+}
+
 // Guards against an id that other daemons can't be told, because messages between them are JSON.
 BOOST_AUTO_TEST_CASE(ids_that_are_not_utf8_are_rejected)
 {
