--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -417,7 +417,9 @@
     const bool observed = is_step_observed(spec, progress, history, context.evidence_until);
     if (context.now >= spec.deadline - final_decision_lead_ms)
     {
-        if (!found && spec.order > 0 && has_doubts(spec, history, context.routes))
+        // After the calls were spread, doubts may still stem from one slow upstream of a few.
+        if (!found && spec.order > 0 && !progress.spread &&
+            has_doubts(spec, history, context.routes))
         {
             return withdraw(progress, "possible harm not cleared up by the deadline");
         }
