Let running calls go on while their upstream accepts no new connection

A call that its upstream was working on was answered with 502 during the planned stop of the caller's daemon, while the upstream's announcements were late.

Cause: the daemon beside the upstream gave up all running idempotent calls as soon as the upstream accepted no new connection: at the check that follows late announcements, after a call that found no connection, and after an answer of another instance. None of these shows that a run has ended. An upstream refuses connections while all that it accepts are in use. One that has ended closes the connections of its calls, and each call learns it there.

Fix: an upstream that is marked as down gets no new calls; its running calls end with their answer, their connection or their deadline. abandon_running_calls() and the state that only it needed are removed.

--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -480,28 +480,6 @@
     }
 }
 
-void abandon_running_calls(node& self, std::string_view reason)
-{
-    std::vector<std::uint64_t> ids;
-    for (const auto& [id, call] : self.sidecar_state->inbound)
-    {
-        if (call->holds_slot && call->upstream_request && call->terms.idempotent)
-        {
-            ids.push_back(id);
-        }
-    }
-    for (const std::uint64_t id : ids)
-    {
-        if (inbound_call* call = find_inbound(self, id))
-        {
-            cancel_call(*self.upstream_pool, *call->upstream_request);
-            finish_running(
-                self, id,
-                {.report = {.outcome = run_outcome::unknown, .reason = std::string(reason)}});
-        }
-    }
-}
-
 void expire_waiting_calls(node& self)
 {
     if (self.sidecar_state->served)
--- a/src/inbound.hpp
+++ b/src/inbound.hpp
@@ -51,10 +51,6 @@
 /** Refuses all waiting calls, so that the callers' daemons offer them to other instances. */
 void refuse_waiting_calls(node& self, std::string_view reason);
 
-/** Abandons idempotent calls that run on an upstream that no longer responds, so that the callers'
- * daemons can retry them. */
-void abandon_running_calls(node& self, std::string_view reason);
-
 /** Refuses waiting calls that can no longer finish in time. */
 void expire_waiting_calls(node& self);
 
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -79,7 +79,6 @@
     served.announced = announced;
     served.queue.slots = announced.slots;
     served.down = false;
-    served.silent = false;
     served.lease_until = steady_now() + lease_time(self);
     if (starts_leaving)
     {
@@ -89,16 +88,6 @@
     publish_self_record(self);
 }
 
-/** Lets the upstream receive no further calls until its next announcement. */
-void take_out_of_service(node& self, std::string_view reason)
-{
-    self.sidecar_state->served->down = true;
-    count(self.stats, "upstream_down");
-    log_upstream_change("upstream_down", self.sidecar_state->served->announced, reason);
-    publish_self_record(self);
-    refuse_waiting_calls(self, reason);
-}
-
 /** Checks whether an upstream that sends no responses still accepts connections. */
 void probe_served_upstream(node& self)
 {
@@ -112,24 +101,11 @@
                                      self.sidecar_state->served->announced.instance == instance;
                    if (same && !accepted)
                    {
-                       constexpr std::string_view reason =
-                           "it answers nothing and accepts no connection";
-                       mark_upstream_down(self, reason);
-                       // Has been marked down before if its announcements had stopped.
-                       abandon_running_calls(self, reason);
+                       mark_upstream_down(self, "it answers nothing and accepts no connection");
                    }
                });
 }
 
-/** Takes the upstream out of service. Its running calls go on: late announcements don't show that
- * it has stopped working. */
-void mark_upstream_silent(node& self)
-{
-    constexpr std::string_view reason = "its announcements have stopped";
-    self.sidecar_state->served->silent = true;
-    take_out_of_service(self, reason);
-}
-
 /** Detects an upstream that has failed, before further calls are sent to it. */
 void check_served_upstream(node& self)
 {
@@ -141,10 +117,9 @@
     const time_ms now = steady_now();
     if (!served.down && now > served.lease_until)
     {
-        mark_upstream_silent(self);
+        mark_upstream_down(self, "its announcements have stopped");
     }
-    const bool in_doubt =
-        served.down ? served.silent && running_calls(self) > 0 : is_stalled(served.queue, now);
+    const bool in_doubt = !served.down && is_stalled(served.queue, now);
     if (in_doubt && now - served.probed_at > stall_probe_interval_ms)
     {
         probe_served_upstream(self);
@@ -367,8 +342,13 @@
     {
         return;
     }
-    take_out_of_service(self, reason);
-    abandon_running_calls(self, reason);
+    self.sidecar_state->served->down = true;
+    count(self.stats, "upstream_down");
+    log_upstream_change("upstream_down", self.sidecar_state->served->announced, reason);
+    publish_self_record(self);
+    // Running calls go on. An upstream that is late, or out of connections, may still be working on
+    // them; if it has ended, their own connections are closed.
+    refuse_waiting_calls(self, reason);
 }
 
 bool refuse_connections(sidecar& sidecar_state)
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -49,8 +49,6 @@
     /** The upstream is unavailable until its next announcement: it refused a connection, didn't
      * respond, or stopped announcing itself. */
     bool down = false;
-    /** Whether it is down only because its announcements stopped; it may still run calls. */
-    bool silent = false;
     /** Time of the last connection probe that was sent because no call had ended. */
     time_ms probed_at = 0;
     admission_queue queue;
@@ -138,7 +136,8 @@
 /** Applies a departure that this daemon has told its peers before it was restarted. */
 void learn_departure(node& self, const departed_instance& departed);
 
-/** Marks the upstream as unavailable. It gets no calls until it announces itself again. */
+/** Marks the upstream as unavailable. It gets no calls until it announces itself again; the calls
+ * that it runs go on. */
 void mark_upstream_down(node& self, std::string_view reason);
 
 /** Stops accepting connections except those already waiting. Returns false if it had stopped
