Reroute a call from a silent daemon only if another instance is left

Callers saw: 502 for an idempotent call on the only upstream of its service while the daemon beside it was silent for 1.5 s; the upstream was at work and its answer would have arrived in time.

Cause: the caller's daemon cancelled the call to try elsewhere without looking whether there is an elsewhere, and then had nothing left to offer it to.

Fix: a call is rerouted only if an instance is left that it was not offered to and that isn't suspended.

--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -199,11 +199,26 @@
     return call.max_attempts > 0 ? call.max_attempts : default_max_attempts;
 }
 
+/** Whether there is an instance that the call was not offered to and that is not suspended. */
+bool has_untried_instance(node& self, const outbound_call& call)
+{
+    const time_ms now = steady_now();
+    const std::vector<instance_view>& views = instances_of(self, call.service).views;
+    return std::any_of(views.begin(), views.end(),
+                       [&](const instance_view& view)
+                       {
+                           return now >= view.suspended_until &&
+                                  std::find(call.tried.begin(), call.tried.end(), view.instance) ==
+                                      call.tried.end();
+                       });
+}
+
 /** Whether an unanswered attempt may be cancelled for a retry. The last permitted attempt keeps
  * running until the deadline. */
-bool may_abort_for_retry(const node& self, const outbound_call& call)
+bool may_abort_for_retry(node& self, const outbound_call& call)
 {
-    return call.idempotent && call.arrivals + 1 < max_arrivals(call) && !self.leaving &&
+    return call.idempotent && has_untried_instance(self, call) &&
+           call.arrivals + 1 < max_arrivals(call) && !self.leaving &&
            can_retry(self.sidecar_state->retry_counts_by_service, call.service,
                      self.sidecar_state->retry_bounds, live_daemon_count(self), steady_now());
 }
--- a/test/running-calls-test.cpp
+++ b/test/running-calls-test.cpp
@@ -59,6 +59,17 @@
     BOOST_TEST(this->finish() == 200);
 }
 
+// Guards against giving up a call because the daemon beside its upstream is silent for a while,
+// although no other upstream could run it.
+BOOST_FIXTURE_TEST_CASE(silent_daemon_keeps_the_call_of_the_only_upstream, long_call)
+{
+    constexpr time_ms silence_ms = 1500;
+    this->runner->child_process->signal(SIGSTOP);
+    this->run_for(silence_ms);
+    this->runner->child_process->signal(SIGCONT);
+    BOOST_TEST(this->finish() == 200);
+}
+
 // Guards against giving up the calls in progress when another call finds no connection.
 BOOST_FIXTURE_TEST_CASE(refused_call_ends_no_other_running_call, long_call)
 {
