Check the keys of organisations and tell upstreams the organisation

Callers of organisations send a key. Until now the daemon passed it on to upstreams, told them no organisation, and served keys that were taken away.

A configuration may now hold organisations with digests of their keys. The caller's daemon removes the key from the request, finds the organisation by its digest (compared in constant time) and answers 401 where there is none, 503 while it has no configuration or knows of a newer one. The check is made for each request and before each further offer, so that open connections, retries and restarted daemons are bound. The daemon beside the upstream tells it the organisation's name. The organisation's priority goes before the route's. Messages between daemons hold digests only. Without organisations nothing changes, on the wire neither.

--- a/include/sardinepoint/config.hpp
+++ b/include/sardinepoint/config.hpp
@@ -43,10 +43,28 @@
     int priority = 0;
     /** Maximum number of upstreams that a call may be sent to; 0 selects the daemon's default. */
     int max_attempts = 0;
+    /** Whether calls need no key although the configuration has organisations. */
+    bool is_public = false;
 
     bool operator==(const route&) const = default;
 };
 
+/** A customer whose callers identify themselves by a key. */
+struct organisation
+{
+    std::string name;
+    /** Digests of the keys, see key_digest(). The keys themselves are not part of the state. */
+    std::vector<std::string> key_digests;
+    /** Replaces the priority of the routes. */
+    std::optional<int> priority;
+    /** Calls per second that all daemons together accept; 0 if there is no limit. */
+    double rate_per_s = 0;
+    /** Calls beyond the rate that may come at once. */
+    double burst = 0;
+
+    bool operator==(const organisation&) const = default;
+};
+
 /** A service and the traffic shares of its versions, in whole percent that add up to 100. */
 struct service_config
 {
@@ -155,6 +173,8 @@
     std::map<std::string, route> routes;
     std::map<std::string, service_config> services;
     caller_limits limits;
+    /** Calls need a key, except on public routes, if this is not empty. */
+    std::map<std::string, organisation> organisations;
     std::map<std::string, move_record> moves;
     /** Ids of ended moves, oldest first; when there are too many, the oldest moves are dropped. */
     std::deque<std::string> ended_moves;
@@ -222,6 +242,7 @@
     std::map<std::string, route> routes;
     std::map<std::string, service_config> services;
     caller_limits limits;
+    std::map<std::string, organisation> organisations = {};
 };
 
 /** The difference between the configuration of one version and a newer whole configuration. */
@@ -236,6 +257,9 @@
     /** All services, not only changed ones, since there are few. */
     std::map<std::string, service_config> services;
     caller_limits limits;
+    /** New and changed organisations. */
+    std::map<std::string, organisation> organisations = {};
+    std::vector<std::string> removed_organisations = {};
 };
 
 /** An operator's order to move a service's traffic to one version within a given time. */
@@ -261,6 +285,9 @@
 bool check_routes(const std::map<std::string, route>& routes,
                   const std::map<std::string, service_config>& services, error& reason);
 
+/** Checks that each organisation has valid limits and keys, and that no two share a key. */
+bool check_organisations(const std::map<std::string, organisation>& organisations, error& reason);
+
 /** Computes the delta from the state to the configuration, and the configuration after a delta. */
 config_delta make_delta(const config_state& state, const whole_config& next);
 whole_config apply_delta(const config_state& state, const config_delta& delta);
--- a/include/sardinepoint/platform_adapter.hpp
+++ b/include/sardinepoint/platform_adapter.hpp
@@ -30,6 +30,8 @@
     std::string_view instance;
     /** Service of the VM on which the call originated. */
     std::string_view caller_service;
+    /** Organisation of the caller's key; empty if the call has none. */
+    std::string_view organisation;
     time_ms time_left = 0;
 };
 
@@ -51,6 +53,8 @@
 struct call_protocol
 {
     caller_metadata (*parse_caller_headers)(std::span<const http_header> headers) = nullptr;
+    /** Removes the header that tells upstreams the organisation, which callers must not set. */
+    void (*remove_organisation)(std::vector<http_header>& headers) = nullptr;
     /** Sets the headers that the upstream expects from the daemon, replacing the caller's. */
     void (*write_upstream_headers)(std::vector<http_header>& headers,
                                    const upstream_call& call) = nullptr;
--- a/src/call_headers.hpp
+++ b/src/call_headers.hpp
@@ -23,6 +23,7 @@
 inline constexpr std::string_view upstream = "Sardinepoint-Upstream";
 inline constexpr std::string_view crash = "Sardinepoint-Crash";
 inline constexpr std::string_view replayed = "Sardinepoint-Replayed";
+inline constexpr std::string_view organisation = "Sardinepoint-Organisation";
 inline constexpr std::string_view key = "Idempotency-Key";
 /** JSON parameters of a call, from the caller's daemon to the daemon beside the upstream. */
 inline constexpr std::string_view terms = "Sardinepoint-Terms";
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -387,11 +387,15 @@
     {
         patches.push_back(to_json(outcome));
     }
-    return json{{"version", state.version},         {"next_offset", state.next_offset},
-                {"routes", std::move(routes)},      {"services", std::move(services)},
-                {"limits", to_json(state.limits)},  {"moves", std::move(moves)},
-                {"ended_moves", state.ended_moves}, {"patches", std::move(patches)}}
-        .dump();
+    json out{{"version", state.version},         {"next_offset", state.next_offset},
+             {"routes", std::move(routes)},      {"services", std::move(services)},
+             {"limits", to_json(state.limits)},  {"moves", std::move(moves)},
+             {"ended_moves", state.ended_moves}, {"patches", std::move(patches)}};
+    for (const auto& [name, value] : state.organisations)
+    {
+        out["organisations"].push_back(to_json(value));
+    }
+    return out.dump();
 }
 
 std::optional<config_state> parse_state(std::string_view text, error& reason)
@@ -414,6 +418,7 @@
     {
         state.limits = detail::parse_limits(reader.object("limits"), kind, reason);
     }
+    state.organisations = detail::parse_organisations(reader, kind, reason);
     for (const json& value : reader.array("moves"))
     {
         auto parsed_move = parse_move_record(value, reason);
--- a/src/config_json.cpp
+++ b/src/config_json.cpp
@@ -16,6 +16,7 @@
 constexpr double max_weight = 1e9;
 constexpr std::int64_t max_configurable_bytes = std::int64_t{1} << 32U;
 constexpr int max_upstream_connections = 1'000'000;
+constexpr double max_call_rate = 1e9;
 
 std::vector<split_target> parse_split(const json& values, json_reader& route_reader)
 {
@@ -43,6 +44,29 @@
     return targets;
 }
 
+organisation parse_organisation(json_reader& reader)
+{
+    organisation value;
+    value.name = reader.text("name");
+    for (const json& digest : reader.array("key_digests"))
+    {
+        if (!digest.is_string())
+        {
+            reader.fail("key_digests", "has an entry that is not a string",
+                        "give the digests of the keys");
+            break;
+        }
+        value.key_digests.push_back(digest.get<std::string>());
+    }
+    if (reader.has("priority"))
+    {
+        value.priority = static_cast<int>(reader.integer("priority", 0, lowest_priority));
+    }
+    value.rate_per_s = reader.number_or("rate_per_s", 0, 0, max_call_rate);
+    value.burst = reader.number_or("burst", 0, 0, max_call_rate);
+    return value;
+}
+
 } // namespace
 
 json to_json(const route& value)
@@ -75,6 +99,25 @@
     {
         out["max_attempts"] = value.max_attempts;
     }
+    if (value.is_public)
+    {
+        out["public"] = true;
+    }
+    return out;
+}
+
+json to_json(const organisation& value)
+{
+    json out{{"name", value.name}, {"key_digests", value.key_digests}};
+    if (value.priority)
+    {
+        out["priority"] = *value.priority;
+    }
+    if (value.rate_per_s > 0)
+    {
+        out["rate_per_s"] = value.rate_per_s;
+        out["burst"] = value.burst;
+    }
     return out;
 }
 
@@ -117,6 +160,7 @@
     value.priority = static_cast<int>(reader.integer_or("priority", 0, 0, lowest_priority));
     value.max_attempts =
         static_cast<int>(reader.integer_or("max_attempts", 0, 0, max_call_attempts));
+    value.is_public = reader.boolean_or("public", false);
     if (!value.prefix.empty() && value.prefix.front() != '/')
     {
         reader.fail("prefix", "does not start with '/'", "give a path such as /duty");
@@ -190,6 +234,25 @@
     return services;
 }
 
+std::map<std::string, organisation> parse_organisations(json_reader& reader, error_kind kind,
+                                                        error& reason)
+{
+    std::map<std::string, organisation> organisations;
+    if (!reader.has("organisations"))
+    {
+        return organisations;
+    }
+    for (const json& value : reader.array("organisations"))
+    {
+        json_reader item(value, "organisation", kind, reason);
+        organisation parsed = parse_organisation(item);
+        item.finish();
+        std::string name = parsed.name;
+        organisations[std::move(name)] = std::move(parsed);
+    }
+    return organisations;
+}
+
 caller_limits parse_limits(const json& value, error_kind kind, error& reason)
 {
     json_reader reader(value, "limits", kind, reason);
--- a/src/config_json.hpp
+++ b/src/config_json.hpp
@@ -14,6 +14,7 @@
 nlohmann::json to_json(const route& value);
 nlohmann::json to_json(const service_config& value);
 nlohmann::json to_json(const caller_limits& value);
+nlohmann::json to_json(const organisation& value);
 
 route parse_route(json_reader& reader);
 /** Parses shares by version, in whole percent that must add up to 100. */
@@ -26,6 +27,9 @@
 std::map<std::string, route> parse_routes(json_reader& reader, error_kind kind, error& reason);
 std::map<std::string, service_config> parse_services(json_reader& reader, error_kind kind,
                                                      error& reason);
+/** Parses the array "organisations" into a map by name; empty if the object has none. */
+std::map<std::string, organisation> parse_organisations(json_reader& reader, error_kind kind,
+                                                        error& reason);
 caller_limits parse_limits(const nlohmann::json& value, error_kind kind, error& reason);
 
 } // namespace sardinepoint::detail
--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -299,6 +299,7 @@
     state.routes = std::move(next.routes);
     state.services = std::move(next.services);
     state.limits = next.limits;
+    state.organisations = std::move(next.organisations);
     result.kind = fold_kind::state_replaced;
     return result;
 }
@@ -307,7 +308,8 @@
 fold_result validate_and_fold_config(config_state& state, whole_config next)
 {
     error reason;
-    return check_routes(next.routes, next.services, reason)
+    return check_routes(next.routes, next.services, reason) &&
+                   check_organisations(next.organisations, reason)
                ? fold_whole_config(state, std::move(next))
                : fold_result{.reason = reason};
 }
--- a/src/hop_codec.cpp
+++ b/src/hop_codec.cpp
@@ -43,16 +43,20 @@
 
 void write_terms(http_request& request, const hop_terms& terms)
 {
-    const json body{{"id", terms.id},
-                    {"i", terms.instance},
-                    {"r", terms.route},
-                    {"c", terms.caller_service},
-                    {"p", terms.priority},
-                    {"f", terms.parent_priority},
-                    {"g", terms.latency_target_time_left},
-                    {"t", terms.time_left},
-                    {"rep", terms.idempotent},
-                    {"again", terms.is_retry}};
+    json body{{"id", terms.id},
+              {"i", terms.instance},
+              {"r", terms.route},
+              {"c", terms.caller_service},
+              {"p", terms.priority},
+              {"f", terms.parent_priority},
+              {"g", terms.latency_target_time_left},
+              {"t", terms.time_left},
+              {"rep", terms.idempotent},
+              {"again", terms.is_retry}};
+    if (!terms.organisation.empty())
+    {
+        body["o"] = terms.organisation;
+    }
     // Header values must be ASCII, while names in the configuration may hold other characters.
     set_header(request.headers, call_headers::terms,
                body.dump(-1, ' ', true, json::error_handler_t::replace));
@@ -71,6 +75,7 @@
                          .instance = body.at("i").get<std::string>(),
                          .caller_service = body.at("c").get<std::string>(),
                          .route = body.at("r").get<std::string>(),
+                         .organisation = body.value("o", ""),
                          .priority = body.at("p").get<int>(),
                          .parent_priority = body.at("f").get<int>(),
                          .latency_target_time_left = body.at("g").get<time_ms>(),
--- a/src/hop_codec.hpp
+++ b/src/hop_codec.hpp
@@ -18,6 +18,8 @@
     std::string instance;
     std::string caller_service;
     std::string route;
+    /** Organisation of the caller's key; empty if the call has none. */
+    std::string organisation;
     int priority = 0;
     int parent_priority = 0;
     /** Time left until the latency target and the deadline when the call is sent. */
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -64,6 +64,16 @@
                {"backlog_ms", result.report.queue.backlog}});
 }
 
+/**
+ * Class of calls that the admission queue treats alike. Calls of one route differ in priority if
+ * organisations have priorities.
+ */
+std::string admission_class(const hop_terms& terms)
+{
+    return terms.organisation.empty() ? terms.route
+                                      : terms.route + "/" + std::to_string(terms.priority);
+}
+
 /** Completes a call that holds no slot and runs its callback. */
 void finish(node& self, std::unique_ptr<inbound_call> call, inbound_result result)
 {
@@ -96,10 +106,11 @@
         return;
     }
     const time_ms now = steady_now();
-    const release_result freed = release_slot(
-        self.sidecar_state->served->queue,
-        {.route = call.terms.route, .service_time = now - call.started_at, .answered = answered},
-        now);
+    const release_result freed = release_slot(self.sidecar_state->served->queue,
+                                              {.route = admission_class(call.terms),
+                                               .service_time = now - call.started_at,
+                                               .answered = answered},
+                                              now);
     finish_refused(self, freed.expired, "the wait took up the call's time");
     if (!freed.next)
     {
@@ -246,6 +257,7 @@
         headers, {.id = call.terms.id,
                   .instance = call.terms.instance,
                   .caller_service = call.terms.caller_service,
+                  .organisation = call.terms.organisation,
                   .time_left = time_left});
     const std::uint64_t id = call.id;
     call.upstream_request = send_request(
@@ -372,7 +384,7 @@
     const admission decision =
         admit(queue,
               {.id = id,
-               .route = call.terms.route,
+               .route = admission_class(call.terms),
                .priority = call.terms.priority,
                .parent_priority = call.terms.parent_priority,
                .latency_target_at = call.arrived_at + call.terms.latency_target_time_left,
--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -89,6 +89,12 @@
                                 {error_kind::not_found, "no route matches the path",
                                  "see 'sardinepoint get' for the routes"});
     }
+    if (!config.state.organisations.empty() && !matched->is_public)
+    {
+        // Keys are checked by sidecars only.
+        return not_run_response("this daemon can't check the keys of organisations",
+                                "send the call to the outbound listener of a sidecar");
+    }
     call.route = matched->name;
     call.service = matched->service;
     call.idempotent = matched->idempotent.value_or(is_idempotent_method(call.request.method));
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -165,12 +165,21 @@
     return metadata;
 }
 
+void remove_organisation(std::vector<http_header>& headers)
+{
+    remove_header(headers, call_headers::organisation);
+}
+
 void write_upstream_headers(std::vector<http_header>& headers, const upstream_call& call)
 {
     set_header(headers, call_headers::id, std::string(call.id));
     set_header(headers, call_headers::instance, std::string(call.instance));
     set_header(headers, call_headers::service, std::string(call.caller_service));
     set_header(headers, call_headers::deadline, std::to_string(call.time_left));
+    if (!call.organisation.empty())
+    {
+        set_header(headers, call_headers::organisation, std::string(call.organisation));
+    }
 }
 
 response_kind classify_response(const http_response& response, const upstream_call&)
@@ -187,6 +196,7 @@
              .read_newest = &read_newest_of_stream,
              .record_outcome = &record_outcome_in_stream},
      .calls = {.parse_caller_headers = &parse_caller_headers,
+               .remove_organisation = &remove_organisation,
                .write_upstream_headers = &write_upstream_headers,
                .classify_response = &classify_response}}};
 
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -49,6 +49,19 @@
 
 void offer_call(node& self, std::uint64_t id);
 
+/** Whether the configuration in force still permits the call: its key may have been removed, or the
+ * first organisations added, since the call arrived. */
+bool is_permitted(const node& self, const outbound_call& call)
+{
+    const key_directory& keys = self.sidecar_state->keys;
+    if (!keys.required || call.is_public)
+    {
+        return true;
+    }
+    const std::string* owner = find_organisation(keys, call.key_digest);
+    return owner != nullptr && *owner == call.organisation;
+}
+
 void respond(node& self, std::uint64_t id, http_response response, std::string_view outcome,
              std::string_view reason)
 {
@@ -71,6 +84,7 @@
                {"service", call.service},
                {"instance", call.instance},
                {"version", call.version},
+               {"organisation", call.organisation},
                {"outcome", outcome},
                {"status", response.status},
                {"told_ms", call.caller.time_left.value_or(-1)},
@@ -153,6 +167,35 @@
     refuse(self, id, reason, min_retry_after_ms);
 }
 
+/** Limits the wait to a third of the caller's remaining time, so that it has time for a retry. */
+time_ms capped_retry_after(const outbound_call& call, time_ms wait)
+{
+    return std::min(wait, time_left(call) / 3);
+}
+
+/** Ends a call whose key the configuration doesn't have, or no longer has. */
+void deny(node& self, std::uint64_t id)
+{
+    const outbound_call* call = find_call(self, id);
+    if (call->may_have_run)
+    {
+        respond_outcome_unknown(self, id, "the call's key was removed", 502);
+        return;
+    }
+    if (is_behind(self))
+    {
+        refuse(self, id, "the key is unknown, and a newer configuration is being read",
+               capped_retry_after(*call, newer_config_retry_after_ms));
+        return;
+    }
+    respond(self, id,
+            error_response(401, {error_kind::invalid_argument, "the call has no known key",
+                                 "send a key of an organisation as 'Authorization: Bearer KEY'"}),
+            "denied",
+            fmt::format("the call has no known key; the configuration was complete {} ms ago",
+                        freshness_age(self)));
+}
+
 void handle_deadline(node& self, std::uint64_t id)
 {
     if (outbound_call* call = find_call(self, id))
@@ -162,12 +205,6 @@
     }
 }
 
-/** Limits the wait to a third of the caller's remaining time, so that it has time for a retry. */
-time_ms capped_retry_after(const outbound_call& call, time_ms wait)
-{
-    return std::min(wait, time_left(call) / 3);
-}
-
 /** Time after which a refused caller is likely to get a slot. */
 time_ms retry_after(node& self, const outbound_call& call)
 {
@@ -373,6 +410,7 @@
                     .instance = view.instance,
                     .caller_service = self.config.sidecar.service,
                     .route = call.route,
+                    .organisation = call.organisation,
                     .priority = call.priority,
                     .parent_priority = call.parent_priority,
                     .latency_target_time_left =
@@ -444,6 +482,12 @@
         refuse(self, id, "the request is quarantined: it ended upstreams", time_left(call));
         return;
     }
+    // The configuration may have changed since an earlier offer.
+    if (!is_permitted(self, call))
+    {
+        deny(self, id);
+        return;
+    }
     instance_group& group = instances_of(self, call.service);
     record_own_queue_report(self, call.service);
     const auto chosen = choose_instance(self, call, group);
@@ -482,7 +526,7 @@
     }
     // The timeout of a call made by an upstream is the remaining time of the call that it runs,
     // which says nothing about earlier attempts.
-    if (call.priority == 0 || !call.caller.time_left)
+    if (call.made_by_upstream || !call.caller.time_left)
     {
         return timeout_start + latency_target;
     }
@@ -491,6 +535,34 @@
                                     *call.caller.time_left);
 }
 
+/**
+ * Determines the organisation by the caller's key, and with it the call's priority. Removes the key
+ * and the caller's claim to an organisation, which must not reach other daemons or upstreams.
+ */
+void identify_caller(node& self, outbound_call& call)
+{
+    const key_directory& keys = self.sidecar_state->keys;
+    if (!keys.required)
+    {
+        // Routes of priority 0 are called by upstreams on behalf of the calls that they run.
+        call.made_by_upstream = call.priority == 0;
+        return;
+    }
+    call.key_digest = take_bearer_key(call.request.headers).value_or("");
+    self.sidecar_state->protocol->remove_organisation(call.request.headers);
+    if (const std::string* name = find_organisation(keys, call.key_digest))
+    {
+        call.organisation = *name;
+        const auto& organisations = self.config_replica.state.organisations;
+        const auto found = organisations.find(*name);
+        call.priority = found == organisations.end()
+                            ? call.priority
+                            : found->second.priority.value_or(call.priority);
+    }
+    // Upstreams have no key.
+    call.made_by_upstream = call.organisation.empty();
+}
+
 /** Sets the call's route, service and time limits. Returns false after responding if the call can't
  * run. */
 bool prepare_call(node& self, outbound_call& call)
@@ -536,12 +608,18 @@
         return false;
     }
     call.route = matched->name;
+    call.is_public = matched->is_public;
+    call.priority = matched->priority;
+    identify_caller(self, call);
+    if (!is_permitted(self, call))
+    {
+        deny(self, id);
+        return false;
+    }
     call.service = next_service(self.sidecar_state->splits, *matched, self.random);
     call.idempotent = matched->idempotent.value_or(false);
-    call.priority = matched->priority;
-    // Routes of priority 0 are called by upstreams on behalf of the calls that they run.
     call.parent_priority =
-        matched->priority == 0 ? least_urgent_running_priority(self) : matched->priority;
+        call.made_by_upstream ? least_urgent_running_priority(self) : call.priority;
     call.max_attempts = matched->max_attempts;
     call.deadline = timeout_start +
                     std::min(call.caller.time_left.value_or(matched->timeout), matched->timeout);
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -21,6 +21,13 @@
     caller_metadata caller;
     std::string route;
     std::string service;
+    /** Organisation of the caller's key and the key's digest; empty if the call has none. */
+    std::string organisation;
+    std::string key_digest;
+    /** Whether the call needs no key. */
+    bool is_public = false;
+    /** Whether the upstream of this VM makes the call for a call that it runs. */
+    bool made_by_upstream = false;
     bool idempotent = false;
     int priority = 0;
     /** Priority of the least urgent call, running on this VM, for which the upstream may have made
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -213,6 +213,7 @@
 void refresh_routes(node& self)
 {
     self.sidecar_state->routes = make_route_table(self.config_replica.state);
+    self.sidecar_state->keys = make_key_directory(self.config_replica.state);
     remove_unsplit_routes(self.sidecar_state->splits, self.config_replica.state);
     set_limits(*self.sidecar_state->outbound_server, self.config_replica.state.limits);
 }
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -2,6 +2,7 @@
 
 #include "instances.hpp"
 #include "node.hpp"
+#include "organisations/keys.hpp"
 
 #include "sardinepoint/admission.hpp"
 #include "sardinepoint/announcement.hpp"
@@ -69,6 +70,7 @@
     connection_pool_ptr peer_pool;
 
     route_table routes;
+    key_directory keys;
     split_credits splits;
     /** Selection of the calls that go to the new version of a service during a move, by service. */
     std::map<std::string, share_credit, std::less<>> move_shares;
--- a/src/whole_config.cpp
+++ b/src/whole_config.cpp
@@ -70,6 +70,21 @@
     return true;
 }
 
+std::vector<std::string> parse_names(json_reader& reader, std::string_view key)
+{
+    std::vector<std::string> names;
+    for (const json& name : reader.array(key))
+    {
+        if (!name.is_string())
+        {
+            reader.fail(key, "has a name that is not a string", "give a list of names");
+            break;
+        }
+        names.push_back(name.get<std::string>());
+    }
+    return names;
+}
+
 template <typename Value>
 json to_json_array(const std::map<std::string, Value>& values)
 {
@@ -97,12 +112,16 @@
 
 std::string dump_whole_config(const whole_config& config)
 {
-    return json{{"kind", "whole"},
-                {"version", config.version},
-                {"routes", to_json_array(config.routes)},
-                {"services", to_json_array(config.services)},
-                {"limits", detail::to_json(config.limits)}}
-        .dump();
+    json out{{"kind", "whole"},
+             {"version", config.version},
+             {"routes", to_json_array(config.routes)},
+             {"services", to_json_array(config.services)},
+             {"limits", detail::to_json(config.limits)}};
+    if (!config.organisations.empty())
+    {
+        out["organisations"] = to_json_array(config.organisations);
+    }
+    return out.dump();
 }
 
 bool check_routes(const std::map<std::string, route>& routes,
@@ -133,6 +152,33 @@
     return true;
 }
 
+bool check_organisations(const std::map<std::string, organisation>& organisations, error& reason)
+{
+    std::map<std::string_view, std::string_view> owners;
+    for (const auto& [name, value] : organisations)
+    {
+        if (!(value.rate_per_s >= 0) || !(value.burst >= 0))
+        {
+            reason = {config_error, "organisation '" + name + "' has a negative limit",
+                      "give a rate and a burst of 0 or more"};
+            return false;
+        }
+        for (const std::string& digest : value.key_digests)
+        {
+            const auto [owner, is_new] = owners.emplace(digest, name);
+            if (!is_new && owner->second != name)
+            {
+                reason = {config_error,
+                          "organisations '" + std::string(owner->second) + "' and '" + name +
+                              "' share a key",
+                          "give each organisation keys of its own"};
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 config_delta make_delta(const config_state& state, const whole_config& next)
 {
     config_delta delta{.base = state.version,
@@ -154,6 +200,21 @@
             delta.removed_routes.push_back(name);
         }
     }
+    for (const auto& [name, value] : next.organisations)
+    {
+        const auto before = state.organisations.find(name);
+        if (before == state.organisations.end() || before->second != value)
+        {
+            delta.organisations[name] = value;
+        }
+    }
+    for (const auto& [name, value] : state.organisations)
+    {
+        if (!next.organisations.contains(name))
+        {
+            delta.removed_organisations.push_back(name);
+        }
+    }
     return delta;
 }
 
@@ -162,11 +223,20 @@
     whole_config config{.version = delta.version,
                         .routes = state.routes,
                         .services = delta.services,
-                        .limits = delta.limits};
+                        .limits = delta.limits,
+                        .organisations = state.organisations};
     for (const std::string& name : delta.removed_routes)
     {
         config.routes.erase(name);
     }
+    for (const std::string& name : delta.removed_organisations)
+    {
+        config.organisations.erase(name);
+    }
+    for (const auto& [name, value] : delta.organisations)
+    {
+        config.organisations[name] = value;
+    }
     for (const auto& [name, value] : delta.routes)
     {
         config.routes[name] = value;
@@ -176,14 +246,22 @@
 
 std::string dump_delta(const config_delta& delta)
 {
-    std::string text = json{{"kind", "delta"},
-                            {"base", delta.base},
-                            {"version", delta.version},
-                            {"routes", to_json_array(delta.routes)},
-                            {"removed_routes", delta.removed_routes},
-                            {"services", to_json_array(delta.services)},
-                            {"limits", detail::to_json(delta.limits)}}
-                           .dump();
+    json out{{"kind", "delta"},
+             {"base", delta.base},
+             {"version", delta.version},
+             {"routes", to_json_array(delta.routes)},
+             {"removed_routes", delta.removed_routes},
+             {"services", to_json_array(delta.services)},
+             {"limits", detail::to_json(delta.limits)}};
+    if (!delta.organisations.empty())
+    {
+        out["organisations"] = to_json_array(delta.organisations);
+    }
+    if (!delta.removed_organisations.empty())
+    {
+        out["removed_organisations"] = delta.removed_organisations;
+    }
+    std::string text = out.dump();
     return text.size() <= max_uncompressed_delta_bytes
                ? text
                : json{{"kind", "packed"}, {"text", pack_text(text)}}.dump();
@@ -226,17 +304,13 @@
     config_delta delta{.base = reader.unsigned_integer("base"),
                        .version = reader.unsigned_integer("version")};
     delta.routes = detail::parse_routes(reader, config_error, reason);
-    for (const json& name : reader.array("removed_routes"))
+    delta.removed_routes = parse_names(reader, "removed_routes");
+    delta.services = detail::parse_services(reader, config_error, reason);
+    delta.organisations = detail::parse_organisations(reader, config_error, reason);
+    if (reader.has("removed_organisations"))
     {
-        if (!name.is_string())
-        {
-            reader.fail("removed_routes", "has a name that is not a string",
-                        "give the names of routes");
-            break;
-        }
-        delta.removed_routes.push_back(name.get<std::string>());
+        delta.removed_organisations = parse_names(reader, "removed_organisations");
     }
-    delta.services = detail::parse_services(reader, config_error, reason);
     delta.limits = detail::parse_limits(reader.object("limits"), config_error, reason);
     if (!reader.finish() || reason.kind != error_kind::none)
     {
@@ -260,6 +334,7 @@
     config.routes = detail::parse_routes(reader, config_error, reason);
     config.services = detail::parse_services(reader, config_error, reason);
     config.limits = detail::parse_limits(reader.object("limits"), config_error, reason);
+    config.organisations = detail::parse_organisations(reader, config_error, reason);
     if (!reader.finish() || reason.kind != error_kind::none)
     {
         return std::nullopt;
--- a/support/check.sh
+++ b/support/check.sh
@@ -33,7 +33,7 @@
 done <<<"$settings"
 # The strings between log_event( and its fields; log_upstream takes the event's name first.
 events=$(perl -0777 -ne 'while (/\blog_event\((.*?)\{\{|\blog_upstream(?:_change)?\(("\w+")/sg) {
-  my $head = $1 // $2; print "$1\n" while $head =~ /"(\w+)"/g }' src/*.cpp platform/*.cpp | sort -u)
+  my $head = $1 // $2; print "$1\n" while $head =~ /"(\w+)"/g }' src/*.cpp src/*/*.cpp platform/*.cpp | sort -u)
 for event in $events; do
   require_in_page "\`$event\`:" "event $event"
 done
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -272,6 +272,11 @@
             route_json(service, "/" + service + "/", "idempotent", service, this->route_timeout));
         paths.push_back(route_json("once-" + service, "/once/" + service + "/", "non_idempotent",
                                    service, this->route_timeout));
+        if (this->public_services.contains(service))
+        {
+            paths[paths.size() - 1]["Public"] = true;
+            paths[paths.size() - 2]["Public"] = true;
+        }
     }
     if (!this->split.empty())
     {
@@ -285,14 +290,22 @@
     }
     constexpr const char* digits = "0123456789abcdef";
     const std::string number = std::string(7, '0') + digits[version % 16];
-    const json body{{"Version", number},
-                    {"Services", names},
-                    {"Limits",
-                     {{"MaxHeaderBytes", 16384},
-                      {"MaxBodyBytes", 1000000},
-                      {"HeaderTimeout", "3000ms"},
-                      {"IdleTimeout", "15000ms"}}},
-                    {"Hosts", {{{"Host", host}, {"Paths", paths}}}}};
+    json body{{"Version", number},
+              {"Services", names},
+              {"Limits",
+               {{"MaxHeaderBytes", 16384},
+                {"MaxBodyBytes", 1000000},
+                {"HeaderTimeout", "3000ms"},
+                {"IdleTimeout", "15000ms"}}},
+              {"Hosts", {{{"Host", host}, {"Paths", paths}}}}};
+    for (const auto& [name, value] : this->organisations)
+    {
+        body["Tenants"].push_back({{"Name", name},
+                                   {"ApiKeys", value.keys},
+                                   {"Priority", value.priority},
+                                   {"RatePerS", value.rate_per_s},
+                                   {"Burst", value.burst}});
+    }
     this->store.write("keyed.op", "config", body.dump());
 }
 
@@ -328,13 +341,15 @@
 {
     const std::string id =
         options.id.empty() ? "call-" + std::to_string(++this->last_call) : options.id;
+    std::vector<http_header> headers{{"Host", host},
+                                     {"X-Request-Id", id},
+                                     {"X-Deadline-Ms", std::to_string(options.deadline)},
+                                     {"X-Caller-Service", "forged"}};
+    headers.insert(headers.end(), options.headers.begin(), options.headers.end());
     return send_request(*this->http,
                         {.method = options.method,
                          .url = "http://" + to_string(daemon.outbound) + options.path,
-                         .headers = {{"Host", host},
-                                     {"X-Request-Id", id},
-                                     {"X-Deadline-Ms", std::to_string(options.deadline)},
-                                     {"X-Caller-Service", "forged"}},
+                         .headers = std::move(headers),
                          .body = options.body,
                          .timeout = options.deadline + response_margin_ms,
                          .retryable = false},
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -60,6 +60,15 @@
     std::function<void(http_response&)> modify_response;
 };
 
+/** An organisation in the published configuration. */
+struct fleet_organisation
+{
+    std::vector<std::string> keys;
+    int priority = 1;
+    double rate_per_s = 0;
+    double burst = 0;
+};
+
 /** A daemon process that runs as the sidecar of an upstream. */
 struct fleet_daemon
 {
@@ -108,6 +117,10 @@
     time_ms route_timeout = 2000;
     /** Services and weights of the route "/split/"; the route is published if this is not empty. */
     std::map<std::string, int> split;
+    /** Organisations of configurations that are published later. */
+    std::map<std::string, fleet_organisation> organisations;
+    /** Services whose routes need no key. */
+    std::set<std::string> public_services;
 
     fleet(std::string build_dir, std::string_view name);
     ~fleet();
@@ -139,6 +152,8 @@
         std::string body;
         time_ms deadline = 2000;
         std::string id;
+        /** Headers in addition to those of every call. */
+        std::vector<http_header> headers = {};
     };
 
     /** Starts a call; the callback gets the result, with status 0 if there is no response. */
--- a/support/setup.sh
+++ b/support/setup.sh
@@ -2,7 +2,7 @@
 # Installs the libraries and tools that the build needs (Debian 12).
 set -euo pipefail
 packages=(g++ cmake pkg-config clang-format clang-tidy libace-dev libboost-dev libboost-test-dev
-  libcurl4-openssl-dev libmicrohttpd-dev libdocopt-dev libspdlog-dev libfmt-dev
+  libcurl4-openssl-dev libssl-dev libmicrohttpd-dev libdocopt-dev libspdlog-dev libfmt-dev
   nlohmann-json3-dev libinih-dev libxxhash-dev zlib1g-dev ninja-build ccache curl)
 missing=()
 for package in "${packages[@]}"; do
