Keep calls in their locality while an upstream there answers in time

Cause: three instances are drawn from all localities, and the cost of another one is a few milliseconds, so the draw decides.

Change: an upstream of the own locality gets the call if its answer is expected within [sidecar] local_fraction of the time until the call's latency target; otherwise all localities are compared as before. The load model counts calls to other localities.

--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -94,6 +94,14 @@
      * wherever there are free slots, since the load differs between localities.
      */
     double local_sampling_cost = 500;
+    /**
+     * Fraction of the time until a call's latency target within which an upstream of the own
+     * locality must be expected to answer to get the call regardless of the others; 0 compares all
+     * localities for each call. An answer is worth the same up to the target, while a call to
+     * another locality costs bytes between localities and depends on their link. The rest of the
+     * time covers service times above the average.
+     */
+    double local_fraction = 0;
 };
 
 struct placement_request
@@ -102,6 +110,8 @@
     std::string_view locality;
     /** Usual size of the response to this call. */
     double response_kb = 0;
+    /** Time until the call's latency target; 0 if it has none or is late already. */
+    double target_time_left = 0;
     /** How long a response of another daemon may wait here before it is read. */
     double lag_ms = 0;
     /** Instances to which this call was offered before. */
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -39,6 +39,8 @@
     std::string service;
     /** Locality within the failure domain; upstreams in the same locality are preferred. */
     std::string locality;
+    /** See placement_options::local_fraction. */
+    double local_fraction = 0;
     /** Interval between announcements of the upstream. */
     time_ms announce_interval = 1500;
     /** Retries of a service's calls as a fraction of its calls in a window. */
--- a/src/instance_choice.cpp
+++ b/src/instance_choice.cpp
@@ -70,6 +70,8 @@
     const placement_request request{.own_member = self.config.id,
                                     .locality = self.config.sidecar.locality,
                                     .response_kb = average_response_kb(self, call.route),
+                                    .target_time_left = static_cast<double>(std::max<time_ms>(
+                                        call.latency_target_at - steady_now(), 0)),
                                     .lag_ms = current_lag_ms(self.lag, steady_now()),
                                     .tried = call.tried,
                                     .eligible = positions};
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -150,6 +150,12 @@
     return cost * (1 + std::uniform_real_distribution<double>(0, options.noise)(rng));
 }
 
+struct priced_instance
+{
+    std::size_t index = 0;
+    double cost = 0;
+};
+
 /** Indices of the instances that may get the call; suspended ones only if there are no others. */
 std::vector<std::size_t> usable_instances(std::span<const instance_view> views,
                                           const placement_request& request, time_ms now)
@@ -170,13 +176,21 @@
     return healthy.empty() ? suspended : healthy;
 }
 
+/** Moves the instances of the request's locality to the front and returns their end. */
+std::vector<std::size_t>::iterator partition_local(std::span<const instance_view> views,
+                                                   const placement_request& request,
+                                                   std::vector<std::size_t>& instances)
+{
+    return std::partition(instances.begin(), instances.end(),
+                          [&](std::size_t i) { return views[i].locality == request.locality; });
+}
+
 /** The usable instances, or a random sample of them together with the one on the own VM. */
 std::vector<std::size_t> candidates(std::span<const instance_view> views,
                                     const placement_request& request,
-                                    const placement_options& options, time_ms now,
+                                    const placement_options& options, std::vector<std::size_t> all,
                                     std::mt19937_64& rng)
 {
-    std::vector<std::size_t> all = usable_instances(views, request, now);
     if (options.choices == 0 || all.size() <= options.choices)
     {
         return all;
@@ -184,9 +198,7 @@
     auto local_end = all.end();
     if (remote_locality_cost(request, options) >= options.local_sampling_cost)
     {
-        local_end =
-            std::partition(all.begin(), all.end(),
-                           [&](std::size_t i) { return views[i].locality == request.locality; });
+        local_end = partition_local(views, request, all);
     }
     std::vector<std::size_t> sampled;
     std::sample(all.begin(), local_end, std::back_inserter(sampled),
@@ -232,27 +244,40 @@
                                     const placement_options& options, time_ms now,
                                     std::mt19937_64& rng)
 {
-    std::optional<std::size_t> best;
-    double best_cost = 0;
     const double shortest = shortest_service_time(views);
     const group_knowledge group{
         .shortest_service_time = shortest,
         .reports = recent_reports(views, request.own_member, options, shortest, now)};
-    for (const std::size_t i : candidates(views, request, options, now, rng))
+    const auto choose = [&](std::vector<std::size_t> instances)
     {
-        const double cost = cost_of(views[i], request, options, group, now, rng);
-        if (!best || cost < best_cost)
+        std::optional<priced_instance> best;
+        for (const std::size_t i : candidates(views, request, options, std::move(instances), rng))
         {
-            best = i;
-            best_cost = cost;
+            const double cost = cost_of(views[i], request, options, group, now, rng);
+            if (!best || cost < best->cost)
+            {
+                best = {.index = i, .cost = cost};
+            }
         }
+        return best;
+    };
+    std::vector<std::size_t> usable = usable_instances(views, request, now);
+    std::optional<priced_instance> best;
+    const double local_limit = options.local_fraction * request.target_time_left;
+    if (local_limit > 0)
+    {
+        best = choose({usable.begin(), partition_local(views, request, usable)});
+    }
+    if (!best || best->cost > local_limit)
+    {
+        best = choose(std::move(usable));
     }
     if (!best)
     {
         return std::nullopt;
     }
-    const instance_view& chosen = views[*best];
-    return placement{.index = *best,
+    const instance_view& chosen = views[best->index];
+    return placement{.index = best->index,
                      .wait = static_cast<time_ms>(expected_wait(chosen, options, now)),
                      .report_age = chosen.reported_at == 0 ? -1 : now - chosen.reported_at,
                      .known_service_time = known_service_time(chosen)};
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -159,16 +159,20 @@
     };
 }
 
-std::optional<std::string> set_retry_ratio(settings& target, const std::string& value)
+setter fraction_setter(double sidecar_settings::*member)
 {
-    double number = -1;
-    const auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), number);
-    if (status != std::errc() || end != value.data() + value.size() || number < 0 || number > 1)
+    return [member](settings& target, const std::string& value) -> std::optional<std::string>
     {
-        return "a number from 0 to 1";
-    }
-    target.sidecar.retry_ratio = number;
-    return std::nullopt;
+        double number = -1;
+        const char* last = value.data() + value.size();
+        const auto [end, status] = std::from_chars(value.data(), last, number);
+        if (status != std::errc() || end != last || number < 0 || number > 1)
+        {
+            return "a number from 0 to 1";
+        }
+        target.sidecar.*member = number;
+        return std::nullopt;
+    };
 }
 
 setter boolean_setter(bool settings::*field)
@@ -338,6 +342,11 @@
           "locality within the failure domain; upstreams in the same one are preferred"},
          false,
          sidecar_text_setter(&sidecar_settings::locality)},
+        {{"sidecar", "local_fraction", "", "0",
+          "an upstream of the own locality gets a call if its answer is expected within this part "
+          "of the time until the latency target; 0 compares all localities"},
+         false,
+         fraction_setter(&sidecar_settings::local_fraction)},
         {{"sidecar", "announce_interval", "time", "1500ms",
           "interval between announcements of the upstream"},
          false,
@@ -345,7 +354,7 @@
         {{"sidecar", "retry_ratio", "", "0.2",
           "retries of a service's calls as a part of its calls in a window"},
          false,
-         set_retry_ratio},
+         fraction_setter(&sidecar_settings::retry_ratio)},
         {{"sidecar", "retry_window", "time", "10s", "window of the retry budget"},
          false,
          duration_setter(sidecar_member(&sidecar_settings::retry_window), 1000, hour_ms)},
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -158,6 +158,7 @@
     const platform_adapter* adapter = registry<platform_adapter>::find(self.config.platform);
     self.sidecar_state = std::make_unique<sidecar>();
     self.sidecar_state->protocol = &adapter->calls;
+    self.sidecar_state->placement_params.local_fraction = self.config.sidecar.local_fraction;
     self.sidecar_state->turns.loop = self.loop;
     self.sidecar_state->retry_bounds = {.ratio = self.config.sidecar.retry_ratio,
                                         .window = self.config.sidecar.retry_window,
--- a/support/load_model.cpp
+++ b/support/load_model.cpp
@@ -115,6 +115,7 @@
     print_metric("put_behind",
                  [](const run_metrics& metrics) { return metrics.priority_inversion; });
     print_metric("failed_inner", [](const run_metrics& metrics) { return metrics.failed_inner; });
+    print_metric("remote", [](const run_metrics& metrics) { return metrics.remote; });
     fmt::print("\n");
     for (std::size_t route = 0; route < plan.routes.size(); ++route)
     {
--- a/support/model/load_figures.cpp
+++ b/support/model/load_figures.cpp
@@ -110,6 +110,7 @@
     result.served = fraction(served, calls);
     result.refused_again = offered_utility > 0 ? totals.refused_again / offered_utility : 0;
     result.failed_inner = offered_utility > 0 ? totals.failed_inner / offered_utility : 0;
+    result.remote = fraction(totals.remote_offers, totals.offers);
     result.priority_inversion =
         offered_utility > 0 ? priority_inversion(plan, totals.routes) / offered_utility : 0;
     result.total =
--- a/support/model/load_figures.hpp
+++ b/support/model/load_figures.hpp
@@ -18,6 +18,9 @@
     /** Penalties, in units of utility. */
     double refused_again = 0;
     double failed_inner = 0;
+    /** Offers of calls to upstreams, and those of them to another locality. */
+    double offers = 0;
+    double remote_offers = 0;
 };
 
 /** Computes the fractions of the offered utility that were achieved, the penalties and the weighted
--- a/support/model/load_model.cpp
+++ b/support/model/load_model.cpp
@@ -370,8 +370,11 @@
     upstream& daemon = this->upstreams[call->daemon];
     const std::string member = "vm-" + std::to_string(call->daemon);
     const std::string locality = std::to_string(daemon.locality);
-    const placement_request request{
-        .own_member = member, .locality = locality, .tried = call->tried};
+    const placement_request request{.own_member = member,
+                                    .locality = locality,
+                                    .target_time_left =
+                                        std::max(call->latency_target_at - this->now, 0.0),
+                                    .tried = call->tried};
     if (daemon.service == service)
     {
         instance_view& own =
@@ -394,6 +397,8 @@
     ++call->offers;
     call->tried.push_back(view.instance);
     call->target = this->upstreams_by_service[service][chosen->index];
+    ++this->totals.offers;
+    this->totals.remote_offers += this->upstreams[call->target].locality == daemon.locality ? 0 : 1;
     this->schedule(this->delay_between(call->daemon, call->target),
                    [this, call] { this->admit_call(call); });
 }
--- a/support/model/load_model.hpp
+++ b/support/model/load_model.hpp
@@ -74,6 +74,8 @@
     double refused_again = 0;
     double priority_inversion = 0;
     double failed_inner = 0;
+    /** Fraction of the offers that went to another locality; not part of the total. */
+    double remote = 0;
     /** Weighted sum of the fractions minus the penalties. */
     double total = 0;
 };
--- a/support/model/load_policy.cpp
+++ b/support/model/load_policy.cpp
@@ -56,6 +56,7 @@
          field_setter(&policy::admission, &admission_options::min_relative_answered_fraction)},
         {"noise", field_setter(&policy::placement, &placement_options::noise)},
         {"locality_cost", field_setter(&policy::placement, &placement_options::locality_cost)},
+        {"local_fraction", field_setter(&policy::placement, &placement_options::local_fraction)},
         {"choices", field_setter(&policy::placement, &placement_options::choices)},
         {"most_offers", field_setter(&policy::max_offers)},
         {"return_factor", field_setter(&policy::retry_wait_factor)},
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -546,3 +546,29 @@
     }
     BOOST_TEST(local_calls(280) < 20);
 }
+
+// Guards against calls that leave their locality although an upstream there answers well in time,
+// and against calls that stay there until they are late.
+BOOST_AUTO_TEST_CASE(calls_stay_in_their_locality_while_it_answers_in_time)
+{
+    instance_view local = view_of("local", {.running = 9, .service_time = 200}, 990);
+    instance_view remote = view_of("remote", {.running = 0, .service_time = 80}, 990);
+    remote.locality = "b";
+    const placement_options options{.local_fraction = 0.5};
+    const auto place_with_target = [&](double target_time_left)
+    {
+        std::mt19937_64 random{7};
+        const std::vector<instance_view> views{local, remote};
+        const auto chosen = place_call(
+            views, {.locality = "a", .target_time_left = target_time_left}, options, 1000, random);
+        BOOST_REQUIRE(chosen.has_value());
+        return views[chosen->index].instance;
+    };
+    BOOST_TEST(place_with_target(600) == "local");
+    BOOST_TEST(place_with_target(300) == "remote");
+    BOOST_TEST(place_with_target(0) == "remote");
+    local.report = {.running = 10, .waiting = 6, .backlog = 150, .service_time = 200};
+    BOOST_TEST(place_with_target(600) == "remote");
+    local.suspended_until = 2000;
+    BOOST_TEST(place_with_target(6000) == "remote");
+}
