Hold the rate of cold upstreams and evacuate localities

A cold upstream crashes above its cold rate, and operators can take a locality out of service. The configuration now holds a service's cold rate and health path and the evacuated localities. The daemon beside an upstream counts starts (src/cold) and refuses calls above the rate; callers' daemons leave out evacuated upstreams and avoid cold ones.

--- a/include/sardinepoint/admission.hpp
+++ b/include/sardinepoint/admission.hpp
@@ -168,6 +168,15 @@
 /** Frees a slot and gives it to the next waiting call. */
 release_result release_slot(admission_queue& queue, const finished_call& ended, time_ms now);
 
+/** Takes a slot if one is free; returns whether it did. */
+bool take_free_slot(admission_queue& queue, time_ms now);
+
+/** Records the end of a call, whose slot is kept until pass_on_slot(). */
+void record_finished(admission_queue& queue, const finished_call& ended, time_ms now);
+
+/** Frees a slot without a finished call and gives it to the next waiting call. */
+release_result pass_on_slot(admission_queue& queue, time_ms now);
+
 /** Removes and returns waiting calls that have too little time left. */
 std::vector<std::uint64_t> expire_waiting(admission_queue& queue, time_ms now);
 
@@ -186,6 +195,10 @@
     time_ms backlog = 0;
     /** Average time for which a call holds a slot. */
     time_ms service_time = 0;
+    /** Remaining time for which the upstream is known to be cold. */
+    time_ms cold_left = 0;
+    /** Time until the upstream gets calls again, if it is or may be cold. */
+    time_ms room_in = 0;
 };
 
 queue_report make_report(const admission_queue& queue);
--- a/include/sardinepoint/config.hpp
+++ b/include/sardinepoint/config.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -74,6 +75,12 @@
     /** Maximum number of connections that an upstream accepts from all callers together; 0 if not
      * configured. */
     int max_connections = 0;
+    /** Calls per second that an upstream bears while it is cold; 0 if there is no limit. */
+    double cold_rate = 0;
+    /** Usual duration of the cold time after an upstream's start; informative. */
+    time_ms cold_time = 0;
+    /** Path of requests that ask an upstream of a service with a cold rate for its state. */
+    std::string health_path;
 };
 
 /** Limits on the requests and connections of callers. */
@@ -175,6 +182,8 @@
     caller_limits limits;
     /** Calls need a key, except on public routes, if this is not empty. */
     std::map<std::string, organisation> organisations;
+    /** Localities whose upstreams get no calls. */
+    std::set<std::string> evacuated;
     std::map<std::string, move_record> moves;
     /** Ids of ended moves, oldest first; when there are too many, the oldest moves are dropped. */
     std::deque<std::string> ended_moves;
@@ -262,6 +271,13 @@
     std::vector<std::string> removed_organisations = {};
 };
 
+/** An operator's order to send no calls to the upstreams of a locality, or its withdrawal. */
+struct evacuation
+{
+    std::string locality;
+    bool active = true;
+};
+
 /** An operator's order to move a service's traffic to one version within a given time. */
 struct move_order
 {
@@ -277,9 +293,10 @@
  * version to finish before the deadline. */
 std::vector<move_step> ordered_move_steps();
 
-/** Serialises a whole configuration or an order as the JSON text of a log record. */
+/** Serialises a whole configuration, an order or an evacuation as the JSON text of a log record. */
 std::string dump_whole_config(const whole_config& config);
 std::string dump_order(const move_order& order);
+std::string dump_evacuation(const evacuation& order);
 
 /** Checks that each route has a valid prefix, timeout and split and that its services exist. */
 bool check_routes(const std::map<std::string, route>& routes,
@@ -304,6 +321,7 @@
 std::optional<config_delta> parse_delta(std::string_view json, error& reason);
 std::optional<whole_config> parse_whole_config(std::string_view json, error& reason);
 std::optional<move_order> parse_order(std::string_view json, error& reason);
+std::optional<evacuation> parse_evacuation(std::string_view json, error& reason);
 
 /** Creates the move that an order starts. `offset` is that of the order's record, `start` the
  * wall-clock time at which the order was given. */
--- a/include/sardinepoint/fold.hpp
+++ b/include/sardinepoint/fold.hpp
@@ -33,6 +33,8 @@
     /** A newer whole configuration was applied. */
     state_replaced,
     move_ordered,
+    /** A locality was evacuated or its evacuation ended, perhaps not for the first time. */
+    evacuation_set,
     malformed,
     /** The record can't be applied to this state, which is unchanged; see fold_record. */
     out_of_order,
@@ -42,7 +44,8 @@
 struct fold_result
 {
     fold_kind kind = fold_kind::malformed;
-    /** Id of the patch or move, or version of the whole configuration; empty if there is none. */
+    /** Id of the patch or move, version of the whole configuration, or locality; empty if there is
+     * none. */
     std::string id;
     error reason;
 };
--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -22,6 +22,8 @@
     std::string instance;
     std::string version;
     std::string locality;
+    /** The locality is evacuated: the instance gets no calls. */
+    bool evacuated = false;
     int slots = 1;
     /** The upstream is warming up, and slower than usual, until this time. */
     time_ms cold_until = 0;
@@ -39,6 +41,10 @@
     /** Exponentially weighted fraction of responses that were server errors. */
     double error_fraction = 0;
     time_ms suspended_until = 0;
+    /** The upstream is cold, according to a report, until this time. */
+    time_ms reported_cold_until = 0;
+    /** The upstream gets no calls before this time because it is or may be cold. */
+    time_ms room_at = 0;
     /** Exponentially weighted round-trip network delay of calls. */
     double network_delay = 0;
     time_ms network_delay_at = 0;
--- a/include/sardinepoint/platform_adapter.hpp
+++ b/include/sardinepoint/platform_adapter.hpp
@@ -60,6 +60,13 @@
                                    const upstream_call& call) = nullptr;
     response_kind (*classify_response)(const http_response& response,
                                        const upstream_call& call) = nullptr;
+    /** Sets the headers of a request that asks the upstream for its state. */
+    void (*write_health_headers)(std::vector<http_header>& headers,
+                                 const upstream_call& call) = nullptr;
+    /** Remaining cold time according to the response to such a request; nullopt if the response
+     * says none or is not the upstream's response to it. */
+    std::optional<time_ms> (*parse_cold_time)(const http_response& response,
+                                              const upstream_call& call) = nullptr;
 };
 
 /** Interface between the daemon and a platform; adapters register themselves by name. */
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -46,6 +46,10 @@
     time_ms retry_window = 10000;
     /** Retries that all daemons together may add to that fraction in a window. */
     int retry_extra = 64;
+    /** A cold upstream may get cold_excess times its service's cold rate plus cold_slack calls in
+     * any second. */
+    double cold_excess = 1.5;
+    double cold_slack = 8;
 
     bool operator==(const sidecar_settings&) const = default;
 };
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -350,7 +350,23 @@
     return result;
 }
 
+bool take_free_slot(admission_queue& queue, time_ms now)
+{
+    if (queue.running >= queue.slots)
+    {
+        return false;
+    }
+    take_slot(queue, now);
+    return true;
+}
+
 release_result release_slot(admission_queue& queue, const finished_call& ended, time_ms now)
+{
+    record_finished(queue, ended, now);
+    return pass_on_slot(queue, now);
+}
+
+void record_finished(admission_queue& queue, const finished_call& ended, time_ms now)
 {
     record_load(queue, ended.route, ended.service_time, now);
     if (ended.answered)
@@ -362,6 +378,10 @@
         stats.answered += 1;
     }
     queue.last_release = now;
+}
+
+release_result pass_on_slot(admission_queue& queue, time_ms now)
+{
     queue.running = std::max(queue.running - 1, 0);
     release_result result;
     result.expired = expire_waiting(queue, now);
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -395,6 +395,10 @@
     {
         out["organisations"].push_back(to_json(value));
     }
+    if (!state.evacuated.empty())
+    {
+        out["evacuated"] = state.evacuated;
+    }
     return out.dump();
 }
 
@@ -419,6 +423,19 @@
         state.limits = detail::parse_limits(reader.object("limits"), kind, reason);
     }
     state.organisations = detail::parse_organisations(reader, kind, reason);
+    if (reader.has("evacuated"))
+    {
+        for (const json& value : reader.array("evacuated"))
+        {
+            if (!value.is_string())
+            {
+                reader.fail("evacuated", "has a locality that is not a string",
+                            "use an older snapshot");
+                break;
+            }
+            state.evacuated.insert(value.get<std::string>());
+        }
+    }
     for (const json& value : reader.array("moves"))
     {
         auto parsed_move = parse_move_record(value, reason);
--- a/src/config_json.cpp
+++ b/src/config_json.cpp
@@ -128,6 +128,18 @@
     {
         out["max_connections"] = value.max_connections;
     }
+    if (value.cold_rate > 0)
+    {
+        out["cold_rate"] = value.cold_rate;
+    }
+    if (value.cold_time > 0)
+    {
+        out["cold_time_ms"] = value.cold_time;
+    }
+    if (!value.health_path.empty())
+    {
+        out["health_path"] = value.health_path;
+    }
     return out;
 }
 
@@ -202,6 +214,13 @@
     }
     value.max_connections =
         static_cast<int>(reader.integer_or("max_connections", 0, 0, max_upstream_connections));
+    value.cold_rate = reader.number_or("cold_rate", 0, 0, max_call_rate);
+    value.cold_time = reader.integer_or("cold_time_ms", 0, 0, max_call_timeout_ms);
+    value.health_path = reader.text_or("health_path", "");
+    if (!value.health_path.empty() && value.health_path.front() != '/')
+    {
+        reader.fail("health_path", "does not start with '/'", "give a path such as /health");
+    }
     return value;
 }
 
--- a/src/fold.cpp
+++ b/src/fold.cpp
@@ -366,6 +366,27 @@
     return result;
 }
 
+fold_result fold_evacuation(config_state& state, const log_record& record)
+{
+    fold_result result;
+    const auto order = parse_evacuation(record.body, result.reason);
+    if (!order)
+    {
+        return result;
+    }
+    if (order->active)
+    {
+        state.evacuated.insert(order->locality);
+    }
+    else
+    {
+        state.evacuated.erase(order->locality);
+    }
+    result.id = order->locality;
+    result.kind = fold_kind::evacuation_set;
+    return result;
+}
+
 /** Applies the next record according to the kind that its body names. */
 fold_result fold_body(config_state& state, const log_record& record)
 {
@@ -402,6 +423,10 @@
     {
         return fold_order(state, record);
     }
+    if (kind == "evacuation")
+    {
+        return fold_evacuation(state, record);
+    }
     if (kind == "foreign")
     {
         // A record of another writer, which doesn't concern the configuration.
@@ -443,6 +468,8 @@
         return "state_replaced";
     case fold_kind::move_ordered:
         return "move_ordered";
+    case fold_kind::evacuation_set:
+        return "evacuation_set";
     case fold_kind::malformed:
         return "malformed";
     case fold_kind::out_of_order:
--- a/src/hop_codec.cpp
+++ b/src/hop_codec.cpp
@@ -57,6 +57,10 @@
     {
         body["o"] = terms.organisation;
     }
+    if (terms.has_cold_rate)
+    {
+        body["cold"] = true;
+    }
     // Header values must be ASCII, while names in the configuration may hold other characters.
     set_header(request.headers, call_headers::terms,
                body.dump(-1, ' ', true, json::error_handler_t::replace));
@@ -81,7 +85,8 @@
                          .latency_target_time_left = body.at("g").get<time_ms>(),
                          .time_left = body.at("t").get<time_ms>(),
                          .idempotent = body.at("rep").get<bool>(),
-                         .is_retry = body.at("again").get<bool>()};
+                         .is_retry = body.at("again").get<bool>(),
+                         .has_cold_rate = body.value("cold", false)};
     }
     catch (const json::exception&)
     {
@@ -107,6 +112,14 @@
     {
         body["why"] = report.reason;
     }
+    if (report.queue.cold_left > 0)
+    {
+        body["cold"] = report.queue.cold_left;
+    }
+    if (report.queue.room_in > 0)
+    {
+        body["room"] = report.queue.room_in;
+    }
     if (report.crashed)
     {
         body["crashed"] = true;
@@ -138,7 +151,9 @@
                           .queue = {.running = queue.at(0).get<int>(),
                                     .waiting = queue.at(1).get<int>(),
                                     .backlog = queue.at(2).get<time_ms>(),
-                                    .service_time = queue.at(3).get<time_ms>()},
+                                    .service_time = queue.at(3).get<time_ms>(),
+                                    .cold_left = body.value("cold", time_ms{0}),
+                                    .room_in = body.value("room", time_ms{0})},
                           .upstream_time = body.value("w", time_ms{0}),
                           .daemon_time = body.value("t", time_ms{0}),
                           .crashed = body.value("crashed", false),
--- a/src/hop_codec.hpp
+++ b/src/hop_codec.hpp
@@ -28,6 +28,8 @@
     bool idempotent = false;
     /** An upstream has received an earlier attempt of the call. */
     bool is_retry = false;
+    /** The service has a cold rate, which the daemon beside the upstream must know. */
+    bool has_cold_rate = false;
 };
 
 /** Metadata that the daemon beside the upstream adds to a response. */
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -1,6 +1,8 @@
 #include "inbound.hpp"
 
+#include "cold/cold_upstream.hpp"
 #include "crash_evidence.hpp"
+#include "evacuation/evacuation.hpp"
 #include "sidecar.hpp"
 
 #include "sardinepoint/logging.hpp"
@@ -106,19 +108,14 @@
         return;
     }
     const time_ms now = steady_now();
-    const release_result freed = release_slot(self.sidecar_state->served->queue,
-                                              {.route = admission_class(call.terms),
-                                               .service_time = now - call.started_at,
-                                               .answered = answered},
-                                              now);
-    finish_refused(self, freed.expired, "the wait took up the call's time");
-    if (!freed.next)
+    record_finished(self.sidecar_state->served->queue,
+                    {.route = admission_class(call.terms),
+                     .service_time = now - call.started_at,
+                     .answered = answered},
+                    now);
+    if (!use_slot_for_health_request(self))
     {
-        return;
-    }
-    if (inbound_call* next = find_inbound(self, *freed.next))
-    {
-        start_on_upstream(self, *next);
+        pass_on_slot(self);
     }
 }
 
@@ -247,6 +244,7 @@
 {
     call.holds_slot = true;
     call.started_at = steady_now();
+    record_upstream_start(self);
     record_run(self.sidecar_state->upstream_retry_rate, call.terms.is_retry, call.started_at);
     const time_ms time_left =
         std::max<time_ms>(call.terms.time_left - (call.started_at - call.arrived_at), 1);
@@ -307,7 +305,17 @@
     {
         return "this daemon is shutting down";
     }
-    return std::nullopt;
+    return evacuation_refusal(self);
+}
+
+/** Returns why the upstream must not get a call now, or nullopt if it may. */
+std::optional<std::string> rate_refusal(node& self, const hop_terms& terms)
+{
+    if (terms.has_cold_rate && self.config_replica.state.version == 0)
+    {
+        return "this daemon does not know the service's cold rate yet";
+    }
+    return cold_refusal(self);
 }
 
 /** Time until the remaining calls are aborted in a planned shutdown. */
@@ -333,8 +341,34 @@
 
 queue_report local_queue_report(const node& self)
 {
-    return self.sidecar_state->served ? make_report(self.sidecar_state->served->queue)
-                                      : queue_report{};
+    if (!self.sidecar_state->served)
+    {
+        return {};
+    }
+    queue_report report = make_report(self.sidecar_state->served->queue);
+    add_cold_report(self, report);
+    return report;
+}
+
+void pass_on_slot(node& self)
+{
+    while (self.sidecar_state->served)
+    {
+        const release_result freed = pass_on_slot(self.sidecar_state->served->queue, steady_now());
+        finish_refused(self, freed.expired, "the wait took up the call's time");
+        inbound_call* next = freed.next ? find_inbound(self, *freed.next) : nullptr;
+        if (next == nullptr)
+        {
+            return;
+        }
+        const auto refusal = cold_refusal(self);
+        if (!refusal)
+        {
+            start_on_upstream(self, *next);
+            return;
+        }
+        finish(self, extract_inbound(self, next->id), not_run(*refusal));
+    }
 }
 
 int least_urgent_running_priority(const node& self)
@@ -380,6 +414,11 @@
         finish(self, std::move(created), not_run("the request is quarantined: it ended upstreams"));
         return id;
     }
+    if (const auto refusal = rate_refusal(self, call.terms))
+    {
+        finish(self, std::move(created), not_run(*refusal));
+        return id;
+    }
     admission_queue& queue = self.sidecar_state->served->queue;
     const admission decision =
         admit(queue,
--- a/src/inbound.hpp
+++ b/src/inbound.hpp
@@ -51,6 +51,10 @@
 /** Refuses all waiting calls, so that the callers' daemons offer them to other instances. */
 void refuse_waiting_calls(node& self, std::string_view reason);
 
+/** Gives a slot that is no longer in use to the next waiting call. Calls above the cold rate are
+ * refused. */
+void pass_on_slot(node& self);
+
 /** Refuses waiting calls that can no longer finish in time. */
 void expire_waiting_calls(node& self);
 
--- a/src/instance_choice.cpp
+++ b/src/instance_choice.cpp
@@ -21,7 +21,8 @@
     std::vector<std::size_t> positions;
     for (std::size_t i = 0; i < group.views.size(); ++i)
     {
-        if (may_receive_call(rule, group.views[i].version, new_version))
+        if (!group.views[i].evacuated &&
+            may_receive_call(rule, group.views[i].version, new_version))
         {
             positions.push_back(i);
         }
--- a/src/instances.cpp
+++ b/src/instances.cpp
@@ -3,6 +3,8 @@
 #include "sidecar.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -27,8 +29,8 @@
     return index;
 }
 
-instance_view make_view(const view_index& previous, const member_record& member,
-                        const upstream_record& upstream)
+instance_view make_view(const view_index& previous, const std::set<std::string>& evacuated,
+                        const member_record& member, const upstream_record& upstream)
 {
     const auto [first, last] = previous.equal_range(upstream.instance);
     const auto existing = std::find_if(
@@ -46,6 +48,7 @@
     }
     view.version = upstream.version;
     view.locality = upstream.locality;
+    view.evacuated = evacuated.contains(upstream.locality);
     view.slots = upstream.slots;
     view.advertised_service_time = upstream.service_time;
     return view;
@@ -68,13 +71,25 @@
     for (const upstream_candidate& choice :
          available_upstreams(self.members, service, any_version, self.config.domain))
     {
-        next.views.push_back(make_view(previous, *choice.member, *choice.upstream));
+        next.views.push_back(make_view(previous, self.config_replica.state.evacuated,
+                                       *choice.member, *choice.upstream));
         next.daemons.push_back({choice.member->address, choice.member->data_port});
     }
     group = std::move(next);
     return group;
 }
 
+void refresh_evacuated(node& self)
+{
+    for (auto& [service, group] : self.sidecar_state->instance_groups)
+    {
+        for (instance_view& view : group.views)
+        {
+            view.evacuated = self.config_replica.state.evacuated.contains(view.locality);
+        }
+    }
+}
+
 instance_view* find_instance(node& self, const std::string& service, std::string_view instance)
 {
     instance_group& group = instances_of(self, service);
--- a/src/instances.hpp
+++ b/src/instances.hpp
@@ -24,6 +24,9 @@
 /** Current instances of the service, rebuilt if the member table has changed. */
 instance_group& instances_of(node& self, const std::string& service);
 
+/** Marks the instances in evacuated localities after a change of the configuration. */
+void refresh_evacuated(node& self);
+
 /** View of an instance, or null if it is no longer in the member table. */
 instance_view* find_instance(node& self, const std::string& service, std::string_view instance);
 
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -244,7 +244,8 @@
     return std::any_of(views.begin(), views.end(),
                        [&](const instance_view& view)
                        {
-                           return now >= view.suspended_until &&
+                           return now >= view.suspended_until && now >= view.room_at &&
+                                  !view.evacuated &&
                                   std::find(call.tried.begin(), call.tried.end(), view.instance) ==
                                       call.tried.end();
                        });
@@ -417,7 +418,8 @@
                         std::max<time_ms>(call.latency_target_at - steady_now(), 0),
                     .time_left = std::max<time_ms>(left - peer_response_margin_ms, 1),
                     .idempotent = call.idempotent,
-                    .is_retry = call.arrivals > 0};
+                    .is_retry = call.arrivals > 0,
+                    .has_cold_rate = has_cold_rate(self.config_replica.state, call.service)};
     if (view.member == self.config.id)
     {
         const std::uint64_t inbound =
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -137,6 +137,7 @@
     const double service_time =
         estimate_service_time(view, options, group.shortest_service_time, now);
     double cost = expected_wait(view, options, now) + service_time;
+    cost *= now < view.reported_cold_until ? options.cold_factor : 1;
     if (!has_recent_report(view, options, now))
     {
         cost += options.similar_wait_weight * similar_wait(group.reports, service_time);
@@ -162,9 +163,10 @@
         const std::size_t i = request.eligible ? (*request.eligible)[n] : n;
         const bool tried = std::find(request.tried.begin(), request.tried.end(),
                                      views[i].instance) != request.tried.end();
-        if (!tried)
+        if (!tried && !views[i].evacuated)
         {
-            (now < views[i].suspended_until ? suspended : healthy).push_back(i);
+            const bool is_suspended = now < views[i].suspended_until || now < views[i].room_at;
+            (is_suspended ? suspended : healthy).push_back(i);
         }
     }
     return healthy.empty() ? suspended : healthy;
@@ -264,7 +266,12 @@
     std::optional<double> shortest;
     for (const instance_view& view : views)
     {
-        const double wait = expected_wait(view, options, now);
+        if (view.evacuated)
+        {
+            continue;
+        }
+        const double wait =
+            std::max(expected_wait(view, options, now), static_cast<double>(view.room_at - now));
         shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
@@ -296,6 +303,9 @@
     view.report = report;
     view.reported_at = now;
     view.sent_since_report = 0;
+    view.reported_cold_until = now + report.cold_left;
+    view.room_at = now + report.room_in;
+    view.cold_until = std::max(view.cold_until, report.cold_left > 0 ? now + report.cold_left : 0);
 }
 
 void record_response(instance_view& view, bool server_error, const placement_options& options)
--- a/src/replica_records.cpp
+++ b/src/replica_records.cpp
@@ -68,9 +68,10 @@
 
 /** Whether the record is broadcast at once. Move orders aren't: each daemon reads them from the
  * log, so that all assign the same time to them. */
-bool is_pushed(const log_record& original, const log_record& compact)
+bool is_pushed(const log_record& original, const log_record& compact, fold_kind kind)
 {
-    return original.decoded_config && compact.body.size() <= max_pushed_bytes;
+    return (original.decoded_config || kind == fold_kind::evacuation_set) &&
+           compact.body.size() <= max_pushed_bytes;
 }
 
 /** Updates the range of records that the newest whole configuration replaces. */
@@ -171,7 +172,7 @@
     keep_recent(config, compact);
     update_superseded(config, record, result.kind);
     config.delta_unusable = false;
-    if (broadcast && (self.config.log_push_records || is_pushed(record, compact)))
+    if (broadcast && (self.config.log_push_records || is_pushed(record, compact, result.kind)))
     {
         self.pending.records.push_back(compact);
     }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -159,16 +159,20 @@
     };
 }
 
-std::optional<std::string> set_retry_ratio(settings& target, const std::string& value)
+setter number_setter(double sidecar_settings::*member, int low, int high)
 {
-    double number = -1;
-    const auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), number);
-    if (status != std::errc() || end != value.data() + value.size() || number < 0 || number > 1)
+    return [=](settings& target, const std::string& value) -> std::optional<std::string>
     {
-        return "a number from 0 to 1";
-    }
-    target.sidecar.retry_ratio = number;
-    return std::nullopt;
+        double number = low - 1;
+        const char* last = value.data() + value.size();
+        const auto [end, status] = std::from_chars(value.data(), last, number);
+        if (status != std::errc() || end != last || !(number >= low && number <= high))
+        {
+            return "a number from " + std::to_string(low) + " to " + std::to_string(high);
+        }
+        target.sidecar.*member = number;
+        return std::nullopt;
+    };
 }
 
 setter boolean_setter(bool settings::*field)
@@ -226,6 +230,8 @@
     constexpr std::int64_t hour_ms = 3'600'000;
     constexpr std::int64_t max_count = 100'000;
     constexpr std::int64_t max_retry_extra = 1'000'000;
+    constexpr int max_cold_excess = 100;
+    constexpr int max_cold_slack = 10'000;
     static const std::vector<setting_rule> all{
         {{"daemon", "id", "", "", "unique name of this daemon"}, true, name_setter(&settings::id)},
         {{"daemon", "region", "", "", "region of the VM"}, true, name_setter(&settings::region)},
@@ -345,7 +351,7 @@
         {{"sidecar", "retry_ratio", "", "0.2",
           "retries of a service's calls as a part of its calls in a window"},
          false,
-         set_retry_ratio},
+         number_setter(&sidecar_settings::retry_ratio, 0, 1)},
         {{"sidecar", "retry_window", "time", "10s", "window of the retry budget"},
          false,
          duration_setter(sidecar_member(&sidecar_settings::retry_window), 1000, hour_ms)},
@@ -353,6 +359,14 @@
           "retries that all daemons together may add to the ratio in a window"},
          false,
          integer_setter(sidecar_member(&sidecar_settings::retry_extra), 0, max_retry_extra)},
+        {{"sidecar", "cold_excess", "", "1.5",
+          "factor on a service's cold rate that a cold upstream may get in any second"},
+         false,
+         number_setter(&sidecar_settings::cold_excess, 1, max_cold_excess)},
+        {{"sidecar", "cold_slack", "calls", "8",
+          "calls that a cold upstream may get beyond that in any second"},
+         false,
+         number_setter(&sidecar_settings::cold_slack, 0, max_cold_slack)},
     };
     return all;
 }
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "sidecar.hpp"
 
+#include "evacuation/evacuation.hpp"
 #include "inbound.hpp"
 #include "outbound.hpp"
 #include "peer_silence.hpp"
@@ -64,6 +65,7 @@
     // Calls of the previous incarnation may still hold connections.
     fresh.queue.running = running_calls(self);
     self.sidecar_state->served = std::move(fresh);
+    abort_health_request(self);
     log_upstream_change("upstream_announced", announced, "new incarnation");
 }
 
@@ -80,6 +82,7 @@
     served.queue.slots = announced.slots;
     served.down = false;
     served.lease_until = steady_now() + lease_time(self);
+    apply_cold_announcement(self, announced);
     if (starts_leaving)
     {
         log_upstream_change("upstream_leaves", announced, "announced");
@@ -214,6 +217,8 @@
 {
     self.sidecar_state->routes = make_route_table(self.config_replica.state);
     self.sidecar_state->keys = make_key_directory(self.config_replica.state);
+    apply_evacuations(self);
+    refresh_cold_upstream(self);
     remove_unsplit_routes(self.sidecar_state->splits, self.config_replica.state);
     set_limits(*self.sidecar_state->outbound_server, self.config_replica.state.limits);
 }
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cold/cold_upstream.hpp"
 #include "instances.hpp"
 #include "node.hpp"
 #include "organisations/keys.hpp"
@@ -18,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -71,6 +73,8 @@
 
     route_table routes;
     key_directory keys;
+    /** Evacuated localities as last applied. */
+    std::set<std::string> evacuated;
     split_credits splits;
     /** Selection of the calls that go to the new version of a service during a move, by service. */
     std::map<std::string, share_credit, std::less<>> move_shares;
@@ -86,6 +90,8 @@
     std::map<std::string, instance_group, std::less<>> instance_groups;
 
     std::optional<served_upstream> served;
+    /** Null if the upstream's service has no cold rate. */
+    std::unique_ptr<cold_upstream> cold;
     /** An upstream that deregistered while this daemon didn't serve it, for instance after a
      * restart of the daemon. */
     std::optional<departure> departed;
--- a/src/whole_config.cpp
+++ b/src/whole_config.cpp
@@ -371,6 +371,31 @@
     return order;
 }
 
+std::string dump_evacuation(const evacuation& order)
+{
+    return json{{"kind", "evacuation"}, {"locality", order.locality}, {"active", order.active}}
+        .dump();
+}
+
+std::optional<evacuation> parse_evacuation(std::string_view text, error& reason)
+{
+    reason = {};
+    const auto parsed = detail::parse_json(text, config_error, reason);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    json_reader reader(*parsed, "evacuation", config_error, reason);
+    reader.text_or("kind", "evacuation");
+    evacuation order{.locality = reader.text("locality"),
+                     .active = reader.boolean_or("active", true)};
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return order;
+}
+
 move_record make_ordered_move(const move_order& order, std::uint64_t offset, time_ms start)
 {
     move_record record;
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -23,6 +24,7 @@
 constexpr time_ms announce_interval_ms = 300;
 constexpr time_ms response_margin_ms = 2000;
 constexpr const char* host = "one.example";
+constexpr const char* health_path = "/healthz";
 
 /** Status of the response, or 0 without one. */
 int status_of(const http_result& result)
@@ -50,8 +52,31 @@
     self.open_upstream(upstream);
 }
 
+time_ms cold_time_left(const fleet_upstream& upstream)
+{
+    return std::max<time_ms>(upstream.cold_until - steady_now(), 0);
+}
+
+void handle_health_request(fleet_upstream& upstream, request_id id)
+{
+    ++upstream.health_requests;
+    if (upstream.answers_health)
+    {
+        send_response(*upstream.server, id,
+                      {.status = 200,
+                       .headers = {{"X-Instance-Id", upstream.instance},
+                                   {"X-Cold-Ms", std::to_string(cold_time_left(upstream))}},
+                       .body = {}});
+    }
+}
+
 void handle_request(fleet& self, fleet_upstream& upstream, request_id id, http_request request)
 {
+    if (path_of(request.target) == health_path)
+    {
+        handle_health_request(upstream, id);
+        return;
+    }
     std::string call(find_header(request.headers, "X-Request-Id").value_or(""));
     const auto expected = find_header(request.headers, "X-Expect-Instance");
     if (expected && *expected != upstream.instance)
@@ -90,13 +115,14 @@
 void send_announcement(fleet& self, fleet_daemon& daemon, std::function<void(int)> done)
 {
     fleet_upstream& upstream = *daemon.upstream;
+    const time_ms cold_left = upstream.announces_cold ? cold_time_left(upstream) : 0;
     const json body{{"Service", upstream.service},
                     {"Addr", to_string(upstream.address)},
-                    {"Zone", "zone-a"},
+                    {"Zone", upstream.locality},
                     {"Version", upstream.version},
                     {"Slots", upstream.slots},
                     {"State", upstream.state},
-                    {"ColdLeft", "0ms"},
+                    {"ColdLeft", std::to_string(cold_left) + "ms"},
                     {"Seq", ++upstream.sequence},
                     {"born", upstream.started_at}};
     send_request(*self.http,
@@ -143,7 +169,8 @@
          << "\nreadiness = " << to_string(daemon.readiness)
          << "\nannouncements = " << to_string(daemon.announcements)
          << "\nupstream = " << to_string(daemon.upstream->address)
-         << "\nservice = " << daemon.upstream->service << "\nlocality = zone-a"
+         << "\nservice = " << daemon.upstream->service
+         << "\nlocality = " << daemon.upstream->locality
          << "\nannounce_interval = " << announce_interval_ms << "ms\n";
 }
 
@@ -255,6 +282,7 @@
     daemon.upstream->instance = "i-" + daemon.id;
     daemon.upstream->service = service;
     daemon.upstream->version = version;
+    daemon.upstream->locality = this->locality;
     this->open_upstream(*daemon.upstream);
     write_settings(*this, daemon);
     this->start(daemon);
@@ -267,7 +295,12 @@
     json paths = json::array();
     for (const std::string& service : services)
     {
-        names.push_back({{"Name", service}, {"HealthPath", "/healthz"}, {"MaxConns", 100}});
+        names.push_back({{"Name", service}, {"HealthPath", health_path}, {"MaxConns", 100}});
+        if (const auto rate = this->cold_rates.find(service); rate != this->cold_rates.end())
+        {
+            names.back()["ColdStart"] = "3000ms";
+            names.back()["ColdPerS"] = rate->second;
+        }
         paths.push_back(
             route_json(service, "/" + service + "/", "idempotent", service, this->route_timeout));
         paths.push_back(route_json("once-" + service, "/once/" + service + "/", "non_idempotent",
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -56,6 +56,14 @@
     int listener_generation = 0;
     /** Whether the upstream announces itself periodically. */
     bool sends_announcements = true;
+    std::string locality;
+    /** Steady time until which the upstream is cold. */
+    time_ms cold_until = 0;
+    /** Whether announcements tell the cold time; they say "not cold" otherwise. */
+    bool announces_cold = true;
+    /** Whether health requests get a response. */
+    bool answers_health = true;
+    int health_requests = 0;
     /** Changes a response before it is sent; may be empty. */
     std::function<void(http_response&)> modify_response;
 };
@@ -121,6 +129,10 @@
     std::map<std::string, fleet_organisation> organisations;
     /** Services whose routes need no key. */
     std::set<std::string> public_services;
+    /** Cold rates of services in configurations that are published later. */
+    std::map<std::string, double> cold_rates;
+    /** Locality of daemons added later. */
+    std::string locality = "zone-a";
 
     fleet(std::string build_dir, std::string_view name);
     ~fleet();
