--- a/src/cold/cold_gate.cpp
+++ b/src/cold/cold_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace sardinepoint
 {
@@ -17,23 +18,30 @@
 // limit.
 constexpr std::size_t max_probes_per_window = 3;
 constexpr time_ms failed_probe_pause_ms = 400;
+// Health requests have a price. In the second after a cold time they would follow each few calls.
+constexpr time_ms probe_pause_ms = 100;
 // Starts that remain possible while a health request is in progress: 0.2 s at 50 calls/s.
 constexpr std::size_t starts_per_probe = 10;
 
-/** The first start that counts; those before it left the window or went to a warm upstream. */
-auto first_counted(const cold_gate& gate, time_ms now)
+/**
+ * Times of the starts that count, oldest first: those in the window, except any before the upstream
+ * was known to be warm. Starts during a known cold time stay, since another one may begin within a
+ * second of its end.
+ */
+std::vector<time_ms> counted_starts(const cold_gate& gate, time_ms now)
 {
-    time_ms oldest = now - window_ms + 1;
-    if (gate.warm_at)
+    const time_ms oldest = now - window_ms;
+    const time_ms oldest_warm = gate.warm_at ? *gate.warm_at - max_arrival_delay_ms : oldest;
+    std::vector<time_ms> counted;
+    counted.reserve(gate.starts.size());
+    for (const call_start& start : gate.starts)
     {
-        oldest = std::max(oldest, *gate.warm_at - max_arrival_delay_ms);
+        if (start.at > oldest && (start.cold || start.at >= oldest_warm))
+        {
+            counted.push_back(start.at);
+        }
     }
-    return std::lower_bound(gate.starts.begin(), gate.starts.end(), oldest);
-}
-
-std::size_t count_starts(const cold_gate& gate, time_ms now)
-{
-    return static_cast<std::size_t>(gate.starts.end() - first_counted(gate, now));
+    return counted;
 }
 
 } // namespace
@@ -55,7 +63,9 @@
 cold_gate make_cold_gate(const cold_limits& limits, time_ms now)
 {
     cold_gate gate{.limits = limits};
-    gate.starts.assign(limits.unproven, now);
+    gate.starts.assign(limits.unproven, {.at = now});
+    // The earlier process may have known that the upstream was cold.
+    std::for_each_n(gate.starts.begin(), limits.cold, [](call_start& start) { start.cold = true; });
     return gate;
 }
 
@@ -68,18 +78,17 @@
 {
     const std::size_t limit =
         cold_time_left(gate, now) > 0 ? gate.limits.cold : gate.limits.unproven;
-    const std::size_t counted = count_starts(gate, now);
-    if (counted < limit)
-    {
-        return 0;
-    }
-    return *(gate.starts.end() - static_cast<std::ptrdiff_t>(limit)) + window_ms - now;
+    const std::vector<time_ms> counted = counted_starts(gate, now);
+    return counted.size() < limit ? 0 : counted[counted.size() - limit] + window_ms - now;
 }
 
 void record_start(cold_gate& gate, time_ms now)
 {
-    gate.starts.erase(gate.starts.begin(), first_counted(gate, now));
-    gate.starts.push_back(now);
+    while (!gate.starts.empty() && gate.starts.front().at <= now - window_ms)
+    {
+        gate.starts.pop_front();
+    }
+    gate.starts.push_back({.at = now, .cold = cold_time_left(gate, now) > 0});
 }
 
 void record_announced_cold(cold_gate& gate, time_ms cold_left, time_ms now)
@@ -91,7 +100,7 @@
 bool wants_probe(const cold_gate& gate, time_ms now)
 {
     return !gate.probe_sent_at && now >= gate.next_probe_at && cold_time_left(gate, now) == 0 &&
-           count_starts(gate, now) >= gate.limits.probe_from;
+           counted_starts(gate, now).size() >= gate.limits.probe_from;
 }
 
 void record_probe_sent(cold_gate& gate, time_ms now)
@@ -107,9 +116,9 @@
     }
     const time_ms sent_at = *gate.probe_sent_at;
     gate.probe_sent_at.reset();
+    gate.next_probe_at = sent_at + (cold_left ? probe_pause_ms : failed_probe_pause_ms);
     if (!cold_left)
     {
-        gate.next_probe_at = sent_at + failed_probe_pause_ms;
         return;
     }
     gate.reported_until = now + *cold_left;
--- a/src/cold/cold_gate.hpp
+++ b/src/cold/cold_gate.hpp
@@ -33,13 +33,20 @@
 
 cold_limits make_cold_limits(const cold_rate& rate);
 
-/** Limits the starts of calls on one upstream that may become cold at any time. Times are steady.
- */
+/** Start of a call on an upstream. */
+struct call_start
+{
+    time_ms at = 0;
+    /** Whether the upstream was known to be cold. */
+    bool cold = false;
+};
+
+/** Limits the starts of calls on an upstream that may become cold at any time. Times are steady. */
 struct cold_gate
 {
     cold_limits limits;
-    /** Starts that still count, oldest first. */
-    std::deque<time_ms> starts;
+    /** Starts in the last second, oldest first. */
+    std::deque<call_start> starts;
     /** End of the cold time according to the announcements and to the health responses. */
     time_ms announced_until = 0;
     time_ms reported_until = 0;
@@ -54,8 +61,8 @@
 };
 
 /**
- * Creates a gate that is closed until an earlier process's starts can no longer count or the
- * upstream is known to be warm.
+ * Creates a gate that counts starts of an earlier process: it is closed until they are a second old
+ * or the upstream is known to be warm.
  */
 cold_gate make_cold_gate(const cold_limits& limits, time_ms now);
 
