--- a/src/cold/cold_upstream.cpp
+++ b/src/cold/cold_upstream.cpp
@@ -109,6 +109,7 @@
 bool is_health_request_due(const node& self, const cold_upstream& state)
 {
     return self.sidecar_state->served && !self.sidecar_state->served->down &&
+           self.sidecar_state->served->announced.state == upstream_state::up &&
            !state.health_path.empty() && wants_probe(state.gate, steady_now());
 }
 
