Take a healthy response without a cold time for one of a warm upstream

The platform's example of a health response has no cold time.

Test: platform-test, health_responses_tell_the_cold_time.

--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -580,3 +580,26 @@
         BOOST_TEST((status->state == last.recorded));
     }
 }
+
+// Guards against a cold upstream that is taken for warm, and a warm one whose calls are held back
+// because its health responses say nothing of cold times.
+BOOST_AUTO_TEST_CASE(health_responses_tell_the_cold_time)
+{
+    const platform_adapter* adapter = registry<platform_adapter>::find("fleet");
+    const auto cold_time = [&](int status, std::vector<http_header> headers)
+    {
+        return adapter->calls.parse_cold_time({.status = status, .headers = std::move(headers)},
+                                              {.id = "health-1", .instance = "i-1"});
+    };
+    BOOST_TEST(cold_time(200, {{"X-Instance-Id", "i-1"}, {"X-Cold-Ms", "700"}}).value() == 700);
+    BOOST_TEST(cold_time(503, {{"X-Instance-Id", "i-1"}, {"X-Cold-Ms", "700"}}).value() == 700);
+    BOOST_TEST(cold_time(200, {{"X-Instance-Id", "i-1"}, {"X-Cold-Ms", "0"}}).value() == 0);
+    BOOST_TEST(cold_time(200, {{"X-Instance-Id", "i-1"}}).value() == 0);
+    BOOST_TEST(!cold_time(200, {}).has_value());
+    BOOST_TEST(!cold_time(200, {{"X-Instance-Id", "i-2"}}).has_value());
+    BOOST_TEST(!cold_time(503, {{"X-Instance-Id", "i-1"}}).has_value());
+    BOOST_TEST(!cold_time(421, {{"X-Instance-Id", "i-1"}, {"X-Cold-Ms", "0"}}).has_value());
+    BOOST_TEST(!cold_time(200, {{"X-Instance-Id", "i-1"}, {"X-Cold-Ms", "soon"}}).has_value());
+    BOOST_TEST(
+        !cold_time(200, {{"X-Instance-Id", "i-1"}, {"X-Request-Id", "health-2"}}).has_value());
+}
