Limit the calls of an organisation over all daemons

Organisations with a rate were identified but could exceed it. Daemons now spend tokens that a coordinator issues. The right to issue is a lease by all daemons of the failure domain, so that a partition or a second coordinator can't issue more than the limit.

--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -5,6 +5,7 @@
 #include "move_runtime.hpp"
 #include "replica.hpp"
 #include "sidecar.hpp"
+#include "usage/usage.hpp"
 
 #include "sardinepoint/logging.hpp"
 
@@ -109,11 +110,18 @@
             "unknown", reason);
 }
 
+void set_retry_after(http_response& response, time_ms retry_after)
+{
+    const double ms_per_second = 1000;
+    set_header(response.headers, "Retry-After",
+               fmt::format("{:.3f}", static_cast<double>(retry_after) / ms_per_second));
+}
+
 /** Responds that the call has not run, so that the caller may retry it after the given time. If an
  * earlier attempt may have run, the outcome is reported as unknown instead. */
 void refuse(node& self, std::uint64_t id, const std::string& reason, time_ms retry_after)
 {
-    const outbound_call* call = find_call(self, id);
+    outbound_call* call = find_call(self, id);
     if (call == nullptr)
     {
         return;
@@ -123,11 +131,10 @@
         respond_outcome_unknown(self, id, reason, 502);
         return;
     }
+    return_usage(self, *call);
     http_response response = error_response(
         503, {error_kind::not_ready, reason, "send the request again after Retry-After"});
-    const double ms_per_second = 1000;
-    set_header(response.headers, "Retry-After",
-               fmt::format("{:.3f}", static_cast<double>(retry_after) / ms_per_second));
+    set_retry_after(response, retry_after);
     respond(self, id, std::move(response), "not-run", reason);
 }
 
@@ -176,12 +183,13 @@
 /** Ends a call whose key the configuration doesn't have, or no longer has. */
 void deny(node& self, std::uint64_t id)
 {
-    const outbound_call* call = find_call(self, id);
+    outbound_call* call = find_call(self, id);
     if (call->may_have_run)
     {
         respond_outcome_unknown(self, id, "the call's key was removed", 502);
         return;
     }
+    return_usage(self, *call);
     if (is_behind(self))
     {
         refuse(self, id, "the key is unknown, and a newer configuration is being read",
@@ -650,6 +658,25 @@
     }
 }
 
+void finish_usage_wait(node& self, std::uint64_t id, const usage_refusal* refusal)
+{
+    const outbound_call* call = find_call(self, id);
+    if (call == nullptr)
+    {
+        return;
+    }
+    if (refusal == nullptr)
+    {
+        offer_call(self, id);
+        return;
+    }
+    http_response response =
+        error_response(429, {error_kind::not_ready, refusal->reason,
+                             "send fewer requests, and this one again after Retry-After"});
+    set_retry_after(response, capped_retry_after(*call, refusal->retry_after));
+    respond(self, id, std::move(response), "limited", refusal->reason);
+}
+
 void handle_outbound_request(node& self, request_id id, http_request request)
 {
     auto created = std::make_unique<outbound_call>();
@@ -673,7 +700,10 @@
                 self.sidecar_state->retry_bounds, steady_now());
     call.deadline_timer = run_after(*self.loop, std::max<time_ms>(time_left(call), 1),
                                     [&self, id] { handle_deadline(self, id.value); });
-    offer_call(self, id.value);
+    if (admit_usage(self, call))
+    {
+        offer_call(self, id.value);
+    }
 }
 
 void handle_outbound_cancelled(node& self, request_id id)
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -2,6 +2,7 @@
 
 #include "hop_codec.hpp"
 #include "node.hpp"
+#include "usage/wallet.hpp"
 
 #include "sardinepoint/platform_adapter.hpp"
 
@@ -13,6 +14,8 @@
 namespace sardinepoint
 {
 
+struct usage_refusal;
+
 /** A call from a caller on this VM, kept until its response is sent. Times are steady. */
 struct outbound_call
 {
@@ -24,6 +27,8 @@
     /** Organisation of the caller's key and the key's digest; empty if the call has none. */
     std::string organisation;
     std::string key_digest;
+    /** Token of the organisation's usage limit that the call has spent. */
+    std::optional<usage_receipt> usage_token;
     /** Whether the call needs no key. */
     bool is_public = false;
     /** Whether the upstream of this VM makes the call for a call that it runs. */
@@ -73,6 +78,9 @@
 /** Counts running attempts that are already slow as evidence for moves. */
 void record_running_calls(node& self);
 
+/** Offers a call that waited for a token of its usage limit, or refuses it. */
+void finish_usage_wait(node& self, std::uint64_t id, const usage_refusal* refusal);
+
 /** Handles a request received on the outbound listener. */
 void handle_outbound_request(node& self, request_id id, http_request request);
 
--- a/src/peering.cpp
+++ b/src/peering.cpp
@@ -8,6 +8,7 @@
 #include "probing.hpp"
 #include "replica.hpp"
 #include "sync.hpp"
+#include "usage/usage.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -94,6 +95,10 @@
     {
         result = merge_evidence_report(self, body);
     }
+    else if (path == "/peer/v1/usage")
+    {
+        result = handle_usage(self, body);
+    }
     else if (path != "/peer/v1/probe")
     {
         respond(error_response(404, {error_kind::not_found,
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -4,6 +4,7 @@
 #include "outbound.hpp"
 #include "peer_silence.hpp"
 #include "replica.hpp"
+#include "usage/usage.hpp"
 
 #include "sardinepoint/logging.hpp"
 #include "sardinepoint/registry.hpp"
@@ -148,6 +149,9 @@
 
 } // namespace
 
+sidecar::sidecar() = default;
+sidecar::~sidecar() = default;
+
 bool is_sidecar(const node& self)
 {
     return self.config.sidecar.outbound.has_value();
@@ -159,6 +163,7 @@
     self.sidecar_state = std::make_unique<sidecar>();
     self.sidecar_state->protocol = &adapter->calls;
     self.sidecar_state->turns.loop = self.loop;
+    open_usage(self, &finish_usage_wait);
     self.sidecar_state->retry_bounds = {.ratio = self.config.sidecar.retry_ratio,
                                         .window = self.config.sidecar.retry_window,
                                         .extra = self.config.sidecar.retry_extra};
@@ -216,6 +221,7 @@
     self.sidecar_state->keys = make_key_directory(self.config_replica.state);
     remove_unsplit_routes(self.sidecar_state->splits, self.config_replica.state);
     set_limits(*self.sidecar_state->outbound_server, self.config_replica.state.limits);
+    refresh_usage(self);
 }
 
 std::optional<upstream_record> served_upstream_record(const node& self)
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -27,6 +27,7 @@
 
 struct outbound_call;
 struct inbound_call;
+struct usage_runtime;
 
 /** Liveness of a daemon to which this one sends calls, based on its responses and on probes. */
 struct peer_liveness
@@ -59,6 +60,11 @@
 /** Additional state of a daemon that serves the callers of its VM. */
 struct sidecar
 {
+    sidecar();
+    ~sidecar();
+    sidecar(const sidecar&) = delete;
+    sidecar& operator=(const sidecar&) = delete;
+
     const call_protocol* protocol = nullptr;
     /** Shared by both listeners, and must outlive them. */
     send_turns turns;
@@ -95,6 +101,8 @@
     /** Ids of inbound calls from other daemons, by the id of their request on the data listener. */
     std::unordered_map<std::uint64_t, std::uint64_t> inbound_by_request;
     std::uint64_t last_inbound_id = 0;
+    /** Usage limits of organisations. */
+    std::unique_ptr<usage_runtime> usage;
 };
 
 /** Time until callers on the VM notice that the daemon isn't ready: they keep sending calls until
--- /dev/null
+++ b/src/usage/ledger.cpp
@@ -0,0 +1,271 @@
+#include "usage/ledger.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sardinepoint
+{
+
+namespace
+{
+
+constexpr double ms_per_second = 1000;
+constexpr time_ms sweep_interval_ms = 250;
+// Daemons send twice a second; without a message for this long, they count as idle.
+constexpr time_ms idle_after_ms = 3 * usage_interval_ms;
+// A later message of an earlier incarnation can't be under way any more.
+constexpr time_ms forget_member_after_ms = 60'000;
+
+// Tokens lie at daemons while they are not needed, and the spending of tokens is reported late. The
+// bucket is larger by what this takes. The sum stays below the bound on 5 s, which is
+// (5 * rate + burst) * 1.1 + 20, with some room for views that differ in the number of daemons.
+constexpr double extra_seconds_of_rate = 0.25;
+constexpr double extra_tokens = 8;
+
+// Below this part of its capacity, a bucket is shared out in proportion to demand only.
+constexpr double scarce_part = 0.25;
+// Daemons without recent calls get tokens only above this part.
+constexpr double ample_part = 0.5;
+// A daemon with few calls keeps its claim to a token until its next message.
+constexpr double min_credit_limit = 2;
+constexpr time_ms min_more_in_ms = 50;
+constexpr time_ms max_more_in_ms = 5000;
+
+bool is_limited(const organisation& value)
+{
+    return value.rate_per_s > 0;
+}
+
+/** Adds the tokens since the last refill, within the support and less the tokens at daemons. */
+void refill(usage_bucket& bucket, const organisation& limit, double support, time_ms now)
+{
+    const double elapsed_s = static_cast<double>(now - bucket.refilled_at) / ms_per_second;
+    const double tokens = limit.rate_per_s * support * elapsed_s;
+    const double room = std::max(0.0, usage_capacity(limit) * support - bucket.held);
+    bucket.level = std::min(bucket.level + tokens, room);
+    bucket.refill_per_demand += tokens / std::max(bucket.demand, 1.0);
+    bucket.refilled_at = now;
+}
+
+void refill_all(usage_ledger& ledger, const organisation_map& organisations, double support,
+                time_ms now)
+{
+    for (auto& [name, bucket] : ledger.buckets)
+    {
+        if (const auto limit = organisations.find(name); limit != organisations.end())
+        {
+            refill(bucket, limit->second, support, now);
+        }
+    }
+}
+
+/** Brings the support up to date. Support only ends between messages, so the lower of its values
+ * at both ends of the time since the last call is the lowest in between. */
+void update_support(usage_ledger& ledger, const organisation_map& organisations, time_ms now)
+{
+    const double support = valid_support(ledger, now);
+    if (support != ledger.support)
+    {
+        refill_all(ledger, organisations, std::min(support, ledger.support), now);
+        ledger.support = support;
+    }
+}
+
+void update_buckets(usage_ledger& ledger, const organisation_map& organisations, time_ms now)
+{
+    std::erase_if(ledger.buckets,
+                  [&](const auto& item)
+                  {
+                      const auto limit = organisations.find(item.first);
+                      return limit == organisations.end() || !is_limited(limit->second);
+                  });
+    for (const auto& [name, limit] : organisations)
+    {
+        if (is_limited(limit))
+        {
+            ledger.buckets.try_emplace(name, usage_bucket{.refilled_at = now});
+        }
+    }
+}
+
+/** Drops what silent daemons held. It may have been spent, so it doesn't return to the bucket. */
+void sweep(usage_ledger& ledger, time_ms now)
+{
+    if (now - ledger.swept_at < sweep_interval_ms)
+    {
+        return;
+    }
+    ledger.swept_at = now;
+    std::erase_if(ledger.members, [now](const auto& item)
+                  { return now - item.second.heard_at > forget_member_after_ms; });
+    for (auto& [name, bucket] : ledger.buckets)
+    {
+        for (auto& [member, holding] : bucket.holdings)
+        {
+            if (now - holding.claimed_at > usage_term_ms)
+            {
+                bucket.held -= std::exchange(holding.held, 0);
+            }
+        }
+        std::erase_if(bucket.holdings,
+                      [&, &current = bucket](const auto& item)
+                      {
+                          const bool idle = now - item.second.claimed_at > idle_after_ms;
+                          current.demand -= idle ? item.second.demand : 0;
+                          return idle;
+                      });
+    }
+}
+
+/** Replaces what is known of the tokens at the daemon. Tokens that it neither holds nor spent were
+ * returned, or the answer with them was lost; they go back to the bucket. */
+void settle(usage_bucket& bucket, usage_holding& holding, const usage_claim& claim, double room)
+{
+    const int returned = std::max(0, holding.held - claim.held - claim.spent);
+    bucket.held += claim.held - holding.held;
+    holding.held = claim.held;
+    bucket.level = std::min(bucket.level + returned, std::max(0.0, room - bucket.held));
+}
+
+void update_demand(usage_bucket& bucket, usage_holding& holding, double demand)
+{
+    const double share = holding.demand * (bucket.refill_per_demand - holding.credit_mark);
+    const double limit = std::max(min_credit_limit, demand);
+    holding.credit = std::min(holding.credit + share, limit);
+    holding.credit_mark = bucket.refill_per_demand;
+    bucket.demand += demand - holding.demand;
+    holding.demand = demand;
+}
+
+/** Tokens for a daemon in addition to those that it holds. */
+double available_tokens(const usage_bucket& bucket, const usage_holding& holding, double room)
+{
+    if (holding.demand == 0)
+    {
+        return std::max(0.0, bucket.level - room * ample_part);
+    }
+    return std::max(bucket.level - room * scarce_part, std::min(holding.credit, bucket.level));
+}
+
+time_ms time_until_more(const usage_bucket& bucket, const usage_holding& holding, double rate)
+{
+    const double share = rate * std::max(holding.demand, 1.0) / std::max(bucket.demand, 1.0);
+    const double missing = std::max(0.0, 1 - holding.credit);
+    const double wait_ms = share > 0 ? missing / share * ms_per_second : max_more_in_ms;
+    return static_cast<time_ms>(
+        std::clamp<double>(std::ceil(wait_ms), min_more_in_ms, max_more_in_ms));
+}
+
+usage_grant handle_claim(usage_bucket& bucket, const organisation& limit, const std::string& sender,
+                         const usage_claim& claim, double support, time_ms now)
+{
+    refill(bucket, limit, support, now);
+    const double room = usage_capacity(limit) * support;
+    usage_holding& holding =
+        bucket.holdings
+            .try_emplace(sender, usage_holding{.credit = 1,
+                                               .credit_mark = bucket.refill_per_demand})
+            .first->second;
+    settle(bucket, holding, claim, room);
+    update_demand(bucket, holding, claim.demand);
+    holding.claimed_at = now;
+
+    // Tokens may be renewed only as far as the present support covers all of them.
+    int kept = std::min(claim.held, claim.wanted);
+    if (bucket.held > room)
+    {
+        kept = std::min(kept, static_cast<int>(claim.held * room / bucket.held));
+        return {.tokens = kept, .more_in = time_until_more(bucket, holding, limit.rate_per_s)};
+    }
+    const int missing = std::max(0, claim.wanted - claim.held);
+    const int granted = std::min(
+        missing, static_cast<int>(std::max(0.0, available_tokens(bucket, holding, room))));
+    bucket.level -= granted;
+    bucket.held += granted;
+    holding.held += granted;
+    holding.credit = std::max(0.0, holding.credit - granted);
+    return {.tokens = kept + granted,
+            .more_in = granted < missing
+                           ? time_until_more(bucket, holding, limit.rate_per_s * support)
+                           : 0};
+}
+
+/** Records the message's sender and its support. Returns false if a later message has arrived. */
+bool accept_sender(usage_ledger& ledger, const usage_request& request, int members, time_ms now)
+{
+    usage_member& member = ledger.members[request.sender];
+    const auto order = std::pair(request.incarnation, request.sequence);
+    if (order <= std::pair(member.incarnation, member.sequence))
+    {
+        return false;
+    }
+    if (request.incarnation != member.incarnation)
+    {
+        // The previous process has ended; its tokens may have been spent.
+        for (auto& [name, bucket] : ledger.buckets)
+        {
+            if (const auto found = bucket.holdings.find(request.sender);
+                found != bucket.holdings.end())
+            {
+                bucket.held -= std::exchange(found->second.held, 0);
+            }
+        }
+    }
+    member.incarnation = request.incarnation;
+    member.sequence = request.sequence;
+    member.heard_at = now;
+    member.weight = 1.0 / std::max({members, request.members, 1});
+    if (request.echo && request.echo->ledger == ledger.id && request.echo->made_at <= now)
+    {
+        // The message was sent after the nonce was made; its receipt may be later by any time.
+        member.support_until =
+            std::max(member.support_until, request.echo->made_at + usage_support_ms);
+    }
+    return true;
+}
+
+} // namespace
+
+double usage_capacity(const organisation& limit)
+{
+    return limit.burst + limit.rate_per_s * extra_seconds_of_rate + extra_tokens;
+}
+
+double valid_support(const usage_ledger& ledger, time_ms now)
+{
+    double support = 0;
+    for (const auto& [id, member] : ledger.members)
+    {
+        support += member.support_until >= now + usage_term_ms ? member.weight : 0;
+    }
+    return std::min(support, 1.0);
+}
+
+usage_answer handle_usage_request(usage_ledger& ledger, const organisation_map& organisations,
+                                  const usage_request& request, int members, time_ms now)
+{
+    update_buckets(ledger, organisations, now);
+    update_support(ledger, organisations, now);
+    sweep(ledger, now);
+    constexpr double whole_percent = 100;
+    usage_answer answer{.nonce = {.ledger = ledger.id, .made_at = now}};
+    if (!accept_sender(ledger, request, members, now))
+    {
+        return answer;
+    }
+    update_support(ledger, organisations, now);
+    answer.support_percent = static_cast<int>(std::lround(ledger.support * whole_percent));
+    for (const auto& [name, claim] : request.claims)
+    {
+        const auto bucket = ledger.buckets.find(name);
+        if (bucket != ledger.buckets.end())
+        {
+            answer.grants[name] = handle_claim(bucket->second, organisations.at(name),
+                                               request.sender, claim, ledger.support, now);
+        }
+    }
+    return answer;
+}
+
+} // namespace sardinepoint
