--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -71,6 +71,15 @@
     {
         entry.state_since = now;
     }
+    if (record.state == member_state::leaving)
+    {
+        entry.left_at = entry.left_at > 0 ? entry.left_at : now;
+    }
+    else if (record.state != member_state::dead ||
+             entry.record.incarnation != record.incarnation)
+    {
+        entry.left_at = 0;
+    }
     const bool newer_version = std::tie(entry.record.incarnation, entry.record.sequence) <
                                std::tie(record.incarnation, record.sequence);
     if (newer_version)
--- a/src/usage/usage.cpp
+++ b/src/usage/usage.cpp
@@ -53,8 +53,7 @@
         [&](const auto& item)
         {
             const member_entry& entry = item.second;
-            const bool left = entry.record.state == member_state::leaving &&
-                              now - entry.state_since > left_member_ms;
+            const bool left = entry.left_at > 0 && now - entry.left_at > left_member_ms;
             return entry.record.domain == self.config.domain && !left;
         }));
 }
