--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -23,10 +23,13 @@
 constexpr double extra_seconds_of_rate = 0.25;
 constexpr double extra_tokens = 8;
 
-// Below this part of its capacity, a bucket is shared out in proportion to demand only.
+// While calls exceed the limit, a bucket below this part of its capacity is shared out in proportion
+// to demand only.
 constexpr double scarce_part = 0.25;
-// Daemons without recent calls get tokens only above this part.
+// Tokens for calls that are only expected are issued above this part, so that enough are left for
+// calls that wait, wherever they come.
 constexpr double ample_part = 0.5;
+constexpr double min_demand = 0.1;
 // A daemon with few calls keeps its claim to a token until its next message.
 constexpr double min_credit_limit = 2;
 constexpr time_ms min_more_in_ms = 50;
@@ -44,7 +47,7 @@
     const double tokens = limit.rate_per_s * support * elapsed_s;
     const double room = std::max(0.0, usage_capacity(limit) * support - bucket.held);
     bucket.level = std::min(bucket.level + tokens, room);
-    bucket.refill_per_demand += tokens / std::max(bucket.demand, 1.0);
+    bucket.refill_per_demand += tokens / std::max(bucket.demand, min_demand);
     bucket.refilled_at = now;
 }
 
@@ -138,21 +141,29 @@
     holding.demand = demand;
 }
 
-/** Tokens for a daemon in addition to those that it holds. */
-double available_tokens(const usage_bucket& bucket, const usage_holding& holding, double room)
+/** Tokens that a daemon may get in addition to those that it holds. */
+double available_tokens(const usage_bucket& bucket, const usage_holding& holding,
+                        const usage_claim& claim, double refill_per_s, double room)
 {
-    if (holding.demand == 0)
+    const double spare = std::max(0.0, bucket.level - room * ample_part);
+    if (bucket.demand <= refill_per_s)
     {
-        return std::max(0.0, bucket.level - room * ample_part);
+        const int unserved = std::max(0, claim.waiting - claim.held);
+        return std::max(spare, std::min<double>(unserved, bucket.level));
+    }
+    if (holding.demand <= 0)
+    {
+        return spare;
     }
     return std::max(bucket.level - room * scarce_part, std::min(holding.credit, bucket.level));
 }
 
 time_ms time_until_more(const usage_bucket& bucket, const usage_holding& holding, double rate)
 {
-    const double share = rate * std::max(holding.demand, 1.0) / std::max(bucket.demand, 1.0);
+    const double share = std::max(holding.demand, min_demand) / std::max(bucket.demand, min_demand);
     const double missing = std::max(0.0, 1 - holding.credit);
-    const double wait_ms = share > 0 ? missing / share * ms_per_second : max_more_in_ms;
+    const double wait_ms =
+        rate > 0 ? missing / (rate * std::min(share, 1.0)) * ms_per_second : max_more_in_ms;
     return static_cast<time_ms>(
         std::clamp<double>(std::ceil(wait_ms), min_more_in_ms, max_more_in_ms));
 }
@@ -168,7 +179,7 @@
                                                .credit_mark = bucket.refill_per_demand})
             .first->second;
     settle(bucket, holding, claim, room);
-    update_demand(bucket, holding, claim.demand);
+    update_demand(bucket, holding, static_cast<double>(claim.demand) / usage_demand_seconds);
     holding.claimed_at = now;
 
     // Tokens may be renewed only as far as the present support covers all of them.
@@ -179,15 +190,16 @@
         return {.tokens = kept, .more_in = time_until_more(bucket, holding, limit.rate_per_s)};
     }
     const int missing = std::max(0, claim.wanted - claim.held);
-    const int granted = std::min(
-        missing, static_cast<int>(std::max(0.0, available_tokens(bucket, holding, room))));
+    const double refill_per_s = limit.rate_per_s * support;
+    const double available = available_tokens(bucket, holding, claim, refill_per_s, room);
+    const int granted = std::min(missing, static_cast<int>(std::max(0.0, available)));
     bucket.level -= granted;
     bucket.held += granted;
     holding.held += granted;
     holding.credit = std::max(0.0, holding.credit - granted);
     return {.tokens = kept + granted,
-            .more_in = granted < missing
-                           ? time_until_more(bucket, holding, limit.rate_per_s * support)
+            .more_in = kept + granted < claim.waiting
+                           ? time_until_more(bucket, holding, refill_per_s)
                            : 0};
 }
 
--- a/src/usage/messages.cpp
+++ b/src/usage/messages.cpp
@@ -2,7 +2,7 @@
 
 #include "json_reader.hpp"
 
-#include <limits>
+#include <array>
 #include <span>
 
 namespace sardinepoint
@@ -70,7 +70,8 @@
         json& claims = value["o"] = json::object();
         for (const auto& [name, claim] : request.claims)
         {
-            claims[name] = json::array({claim.held, claim.spent, claim.wanted, claim.demand});
+            claims[name] = json::array(
+                {claim.held, claim.spent, claim.waiting, claim.wanted, claim.demand});
         }
     }
     return value;
@@ -97,15 +98,16 @@
     {
         for (const auto& [name, counts] : reader.object("o").items())
         {
-            std::array<std::int64_t, 4> values{};
+            std::array<std::int64_t, 5> values{};
             if (!read_counts(counts, values))
             {
                 return std::nullopt;
             }
             request.claims[name] = {.held = static_cast<int>(values[0]),
                                     .spent = static_cast<int>(values[1]),
-                                    .wanted = static_cast<int>(values[2]),
-                                    .demand = static_cast<int>(values[3])};
+                                    .waiting = static_cast<int>(values[2]),
+                                    .wanted = static_cast<int>(values[3]),
+                                    .demand = static_cast<int>(values[4])};
         }
     }
     return request;
--- a/src/usage/messages.hpp
+++ b/src/usage/messages.hpp
@@ -24,6 +24,9 @@
  */
 inline constexpr time_ms usage_support_ms = 2 * usage_interval_ms + usage_term_ms + 500;
 
+/** Unit of the demand in messages: calls per this number of seconds. */
+inline constexpr int usage_demand_seconds = 10;
+
 /** Made by a coordinator; a message that echoes it was sent later. */
 struct usage_nonce
 {
@@ -42,9 +45,11 @@
     int held = 0;
     /** Tokens spent since the last answered message. */
     int spent = 0;
-    /** Tokens that the daemon would like to hold. */
+    /** Calls that wait for a token. */
+    int waiting = 0;
+    /** Tokens that the daemon would like to hold, including those for waiting calls. */
     int wanted = 0;
-    /** Recent calls per second; 0 if there were none in the last seconds. */
+    /** Recent calls per 10 s; 0 if there were none in the last seconds. */
     int demand = 0;
 
     bool operator==(const usage_claim&) const = default;
@@ -71,7 +76,7 @@
 {
     /** Tokens that the daemon may hold, including those that it reported, less those spent since. */
     int tokens = 0;
-    /** Expected time until more tokens are available; 0 if the wish was granted. */
+    /** Expected time until more tokens are available; 0 if all waiting calls got one. */
     time_ms more_in = 0;
 
     bool operator==(const usage_grant&) const = default;
--- a/src/usage/wallet.cpp
+++ b/src/usage/wallet.cpp
@@ -12,7 +12,8 @@
 constexpr double ms_per_second = 1000;
 constexpr time_ms demand_window_ms = 2000;
 constexpr time_ms active_after_call_ms = 10'000;
-constexpr time_ms min_message_interval_ms = 50;
+// Calls wait for at most 60 ms. While tokens are short, the coordinator sets a longer interval.
+constexpr time_ms min_message_interval_ms = 20;
 // Two clocks may differ in rate by far less than this during a lease.
 constexpr time_ms clock_margin_ms = 50;
 // Tokens are asked for this much longer than the interval of the messages, and for the variation of
@@ -54,10 +55,9 @@
     if (is_active(account, now))
     {
         const double rate = calls_per_s(account, now);
-        constexpr double idle_rate = 0.1;
+        claim.waiting = account.waiting;
         claim.wanted = stock_target(account, now) + account.waiting;
-        claim.demand =
-            rate < idle_rate && account.waiting == 0 ? 0 : static_cast<int>(std::ceil(rate));
+        claim.demand = static_cast<int>(std::lround(rate * usage_demand_seconds));
     }
     return claim;
 }
