--- a/test/usage-test.cpp
+++ b/test/usage-test.cpp
@@ -57,6 +57,7 @@
     std::size_t coordinator = 0;
     time_ms regular_due = 0;
     std::deque<simulated_call> waiting;
+    int ran = 0;
     /** Calls per second by organisation. */
     std::map<std::string, double> demand;
 };
@@ -76,6 +77,7 @@
     /** Share of the calls that end without having run, and are put back. */
     double not_run = 0;
     variant kind = variant::correct;
+    bool count_bytes = false;
 };
 
 /** Daemons in virtual time. Runs are counted by organisation and step. */
@@ -177,7 +179,7 @@
         const bool first = !daemon.wallet.nonce;
         daemon.regular_due = this->now + usage_interval_ms;
         ++this->sent;
-        this->bytes += to_json(request).dump().size();
+        this->bytes += this->options.count_bytes ? to_json(request).dump().size() : 0;
         const std::uint64_t incarnation = daemon.wallet.incarnation;
         const auto apply = [this, from, incarnation, first, sequence = request.sequence](
                                const usage_answer& answer)
@@ -254,6 +256,7 @@
             return true;
         }
         ++this->runs[organisation].back();
+        ++daemon.ran;
         return true;
     }
 
@@ -451,8 +454,10 @@
         restart_group(system);
         break;
     case 8:
+        // A link slows down, and the daemons behind it take another coordinator seconds later.
         split(system);
-        system.run_for(system.between(0, 1500));
+        system.cross_group_delay = system.between(1500, 2500);
+        system.run_for(system.between(500, 3500));
         take_own_coordinator(system, 1);
         break;
     case 1:
@@ -555,22 +560,20 @@
     return ratio;
 }
 
-constexpr std::uint64_t interleavings = 300;
+constexpr std::uint64_t interleavings = 2000;
 
-int count_violations(variant kind, std::uint64_t seeds)
+/** Number of seeds that exceed the bound; stops after `enough` of them. */
+int count_violations(variant kind, int enough)
 {
     int violations = 0;
     double worst = 0;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    for (std::uint64_t seed = 1; seed <= interleavings && violations < enough; ++seed)
     {
         const double ratio = play(seed, kind);
         if (ratio > 1)
         {
             ++violations;
-            if (violations <= 5)
-            {
-                BOOST_TEST_MESSAGE("seed " << seed << ": " << ratio << " of the bound");
-            }
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << ratio << " of the bound");
         }
         worst = std::max(worst, ratio);
     }
@@ -578,30 +581,231 @@
     return violations;
 }
 
+
+/** A coordinator with one daemon that supports it, and its wallet. */
+struct pair_of_daemon_and_coordinator
+{
+    organisation_map organisations{{"north", {.name = "north", .rate_per_s = 20, .burst = 20}}};
+    usage_ledger ledger{.id = 5};
+    usage_wallet wallet{.id = "vm-1", .incarnation = 3};
+    time_ms now = 100'000;
+
+    usage_request request() { return make_usage_request(this->wallet, "vm-2", 1, this->now); }
+
+    usage_answer handle(const usage_request& message)
+    {
+        return handle_usage_request(this->ledger, this->organisations, message, 1, this->now);
+    }
+
+    bool exchange()
+    {
+        const usage_request message = this->request();
+        return apply_usage_answer(this->wallet, message.sequence, this->handle(message), this->now);
+    }
+
+    /** Exchanges messages until the bucket is full. */
+    void settle()
+    {
+        for (int i = 0; i < 10; ++i)
+        {
+            record_usage(this->wallet, "north", this->now);
+            this->exchange();
+            this->now += usage_interval_ms;
+        }
+        this->exchange();
+    }
+
+    int balance() { return this->wallet.accounts["north"].balance; }
+};
+
 } // namespace
 
+// Guards against fields that are lost or mixed up on the wire.
+BOOST_AUTO_TEST_CASE(messages_keep_their_content)
+{
+    const usage_request request{.sender = "vm-1",
+                                .incarnation = 1'700'000'000'000,
+                                .sequence = 7,
+                                .members = 83,
+                                .echo = usage_nonce{.ledger = 1ULL << 52U, .made_at = 12},
+                                .claims = {{"north", {1, 2, 3, 4, 5}}}};
+    const auto parsed = nlohmann::json::parse(to_json(request).dump());
+    BOOST_TEST((parse_usage_request(parsed) == request));
+    const usage_answer answer{.nonce = {.ledger = 9, .made_at = 12},
+                              .support_percent = 50,
+                              .grants = {{"north", {.tokens = 4, .more_in = 100}}}};
+    BOOST_TEST((parse_usage_answer(nlohmann::json::parse(to_json(answer).dump())) == answer));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected)
+{
+    for (const char* text :
+         {"{}", "[]", "7", R"({"id":"a","i":1,"q":1,"n":0})",
+          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3]}})",
+          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,-2,3,4,5]}})",
+          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3,4,1e12]}})"})
+    {
+        BOOST_TEST(!parse_usage_request(nlohmann::json::parse(text)), text);
+    }
+    for (const char* text : {"{}", "[]", R"({"e":[1]})", R"({"e":[1,2],"o":{"north":[1]}})"})
+    {
+        BOOST_TEST(!parse_usage_answer(nlohmann::json::parse(text)), text);
+    }
+}
+
+// Guards against messages that a VM with a slow link can't afford twice a second.
+BOOST_AUTO_TEST_CASE(message_about_25_organisations_is_small)
+{
+    usage_request request{.sender = "vm-1", .incarnation = 1, .sequence = 1, .members = 83};
+    for (int i = 0; i < 25; ++i)
+    {
+        request.claims["org-" + std::to_string(100 + i)] = {2, 1, 0, 2, 14};
+    }
+    BOOST_TEST(to_json(request).dump().size() < 800U);
+}
+
+// Guards against messages and accounts of organisations without recent calls.
+BOOST_FIXTURE_TEST_CASE(idle_organisations_are_left_out, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    BOOST_TEST(this->request().claims.size() == 1U);
+    for (int i = 0; i < 30; ++i)
+    {
+        this->now += usage_interval_ms;
+        this->exchange();
+    }
+    BOOST_TEST(this->request().claims.empty());
+    BOOST_TEST(this->wallet.accounts.empty());
+    // What the daemon gave back is in the bucket again.
+    BOOST_TEST(this->ledger.buckets["north"].held == 0);
+}
+
+// Guards against tokens that outlast the support on which they were issued, as after a freeze.
+BOOST_FIXTURE_TEST_CASE(tokens_are_void_after_their_term, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    BOOST_TEST(this->balance() > 0);
+    const time_ms sent_at = this->now;
+    this->now = sent_at + usage_term_ms;
+    BOOST_TEST(!take_token(this->wallet, "north", this->now));
+    this->now = sent_at + usage_term_ms - 1;
+    BOOST_TEST(take_token(this->wallet, "north", this->now).has_value());
+}
+
+// Guards against a token that is used twice: the coordinator counts a spent token as gone as soon as
+// a message reports it.
+BOOST_FIXTURE_TEST_CASE(reported_tokens_are_not_put_back, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    const int before = this->balance();
+    auto token = take_token(this->wallet, "north", this->now);
+    BOOST_REQUIRE(token);
+    return_token(this->wallet, "north", *token, this->now);
+    BOOST_TEST(this->balance() == before);
+    token = take_token(this->wallet, "north", this->now);
+    BOOST_REQUIRE(token);
+    this->request();
+    return_token(this->wallet, "north", *token, this->now);
+    BOOST_TEST(this->balance() == before - 1);
+}
+
+// Guards against an answer that is applied after the daemon has sent another message.
+BOOST_FIXTURE_TEST_CASE(answers_to_earlier_messages_are_void, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    const usage_request first = this->request();
+    const usage_answer answer = this->handle(first);
+    const usage_request second = this->request();
+    BOOST_TEST(!apply_usage_answer(this->wallet, first.sequence, answer, this->now));
+    BOOST_TEST(apply_usage_answer(this->wallet, second.sequence, this->handle(second), this->now));
+    // A message that was overtaken gets no tokens.
+    BOOST_TEST(this->handle(first).grants.empty());
+}
+
+// Guards against support for two coordinators at a time, one of them possibly out of touch.
+BOOST_FIXTURE_TEST_CASE(support_moves_only_after_its_lease, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    const time_ms answered_at = this->now;
+    this->request();
+    usage_ledger other{.id = 6};
+    std::optional<time_ms> supported_at;
+    for (int i = 0; i < 12 && !supported_at; ++i)
+    {
+        this->now += usage_interval_ms / 2;
+        const usage_request message = make_usage_request(this->wallet, "vm-3", 1, this->now);
+        supported_at = message.echo ? std::optional(this->now) : std::nullopt;
+        apply_usage_answer(this->wallet, message.sequence,
+                           handle_usage_request(other, this->organisations, message, 1, this->now),
+                           this->now);
+    }
+    BOOST_REQUIRE(supported_at);
+    BOOST_TEST(*supported_at >= answered_at + usage_support_ms);
+    BOOST_TEST(valid_support(this->ledger, *supported_at) == 0);
+}
+
+// Guards against a coordinator that counts the support of a message sent to its former process.
+BOOST_FIXTURE_TEST_CASE(restarted_coordinator_starts_without_support,
+                        pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    this->ledger = {.id = 7};
+    this->exchange();
+    BOOST_TEST(valid_support(this->ledger, this->now) == 0);
+    BOOST_TEST(this->ledger.buckets["north"].level == 0);
+}
+
+// Guards against buckets of organisations that were removed or lost their limit.
+BOOST_FIXTURE_TEST_CASE(removed_limits_are_forgotten, pair_of_daemon_and_coordinator)
+{
+    this->settle();
+    this->organisations["north"].rate_per_s = 0;
+    BOOST_TEST(this->handle(this->request()).grants.empty());
+    BOOST_TEST(this->ledger.buckets.empty());
+}
+
+// Guards against a daemon with few calls that gets nothing beside one with many.
+BOOST_AUTO_TEST_CASE(shortage_is_shared_in_proportion_to_demand)
+{
+    cluster system({.daemons = 3}, 11);
+    system.organisations["north"] = {.name = "north", .rate_per_s = 40, .burst = 40};
+    constexpr double few = 4;
+    constexpr double many = 396;
+    system.daemons[1].demand["north"] = few;
+    system.daemons[2].demand["north"] = many;
+    system.run_for(10'000);
+    const std::vector<int> before{system.daemons[1].ran, system.daemons[2].ran};
+    constexpr int seconds = 60;
+    system.run_for(seconds * 1000);
+    const double of_few = (system.daemons[1].ran - before[0]) / (few * seconds);
+    const double of_many = (system.daemons[2].ran - before[1]) / (many * seconds);
+    BOOST_TEST_MESSAGE("served: " << of_few << " of the few calls, " << of_many << " of the many");
+    BOOST_TEST(of_few > of_many / 2);
+    BOOST_TEST(of_many > 0.05);
+}
+
 // Guards against more calls than the limit allows in any interleaving of faults.
 BOOST_AUTO_TEST_CASE(bound_holds_in_every_window)
 {
-    BOOST_TEST(count_violations(variant::correct, interleavings) == 0);
+    BOOST_TEST(count_violations(variant::correct, 5) == 0);
 }
 
 // Shows that the interleavings find a coordinator that counts support from a message's receipt.
 BOOST_AUTO_TEST_CASE(support_counted_from_the_receipt_exceeds_the_bound)
 {
-    BOOST_TEST(count_violations(variant::support_from_receipt, interleavings) > 0);
+    BOOST_TEST(count_violations(variant::support_from_receipt, 1) > 0);
 }
 
 // Shows that the interleavings find a daemon that supports a coordinator right after its start.
 BOOST_AUTO_TEST_CASE(support_without_a_wait_after_the_start_exceeds_the_bound)
 {
-    BOOST_TEST(count_violations(variant::no_wait_after_start, interleavings) > 0);
+    BOOST_TEST(count_violations(variant::no_wait_after_start, 1) > 0);
 }
 
 // Guards against refusals in normal operation: uneven use at 60% of the limits, in bursts too.
 BOOST_AUTO_TEST_CASE(use_below_the_limit_is_hardly_refused)
 {
-    cluster system({.daemons = 83, .max_delay = 10}, 7);
+    cluster system({.daemons = 83, .max_delay = 10, .count_bytes = true}, 7);
     constexpr double use = 0.6;
     system.organisations["large"] = {.name = "large", .rate_per_s = 595, .burst = 595};
     system.organisations["medium"] = {.name = "medium", .rate_per_s = 80, .burst = 80};
