--- a/include/sardinepoint/membership.hpp
+++ b/include/sardinepoint/membership.hpp
@@ -97,8 +97,8 @@
     member_record record;
     /** Steady time of the last state change. */
     time_ms state_since = 0;
-    /** Steady time at which the member was first known to leave; 0 unless its newest incarnation left.
-     * It outlasts the verdict that the member is dead. */
+    /** Steady time at which the member was first known to leave; 0 unless its newest incarnation
+     * left. It outlasts the verdict that the member is dead. */
     time_ms left_at = 0;
     /** Hash of the id: position on the probe ring and bucket of the digest. */
     std::uint64_t id_hash = 0;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -75,8 +75,7 @@
     {
         entry.left_at = entry.left_at > 0 ? entry.left_at : now;
     }
-    else if (record.state != member_state::dead ||
-             entry.record.incarnation != record.incarnation)
+    else if (record.state != member_state::dead || entry.record.incarnation != record.incarnation)
     {
         entry.left_at = 0;
     }
--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -23,8 +23,8 @@
 constexpr double extra_seconds_of_rate = 0.25;
 constexpr double extra_tokens = 8;
 
-// While calls exceed the limit, a bucket below this part of its capacity is shared out in proportion
-// to demand only.
+// While calls exceed the limit, a bucket below this part of its capacity is shared out in
+// proportion to demand only.
 constexpr double scarce_part = 0.25;
 // Tokens for calls that are only expected are issued above this part, so that enough are left for
 // calls that wait, wherever they come.
@@ -175,8 +175,8 @@
     const double room = usage_capacity(limit) * support;
     usage_holding& holding =
         bucket.holdings
-            .try_emplace(sender, usage_holding{.credit = 1,
-                                               .credit_mark = bucket.refill_per_demand})
+            .try_emplace(sender,
+                         usage_holding{.credit = 1, .credit_mark = bucket.refill_per_demand})
             .first->second;
     settle(bucket, holding, claim, room);
     update_demand(bucket, holding, static_cast<double>(claim.demand) / usage_demand_seconds);
--- a/src/usage/ledger.hpp
+++ b/src/usage/ledger.hpp
@@ -67,8 +67,8 @@
 double valid_support(const usage_ledger& ledger, time_ms now);
 
 /**
- * Handles a daemon's message. `members` is the number of daemons in the coordinator's view. Messages
- * that a later one of the same daemon has overtaken are answered without tokens.
+ * Handles a daemon's message. `members` is the number of daemons in the coordinator's view.
+ * Messages that a later one of the same daemon has overtaken are answered without tokens.
  */
 usage_answer handle_usage_request(usage_ledger& ledger, const organisation_map& organisations,
                                   const usage_request& request, int members, time_ms now);
--- a/src/usage/messages.cpp
+++ b/src/usage/messages.cpp
@@ -49,8 +49,7 @@
     {
         return std::nullopt;
     }
-    return usage_nonce{.ledger = value[0].get<std::uint64_t>(),
-                       .made_at = value[1].get<time_ms>()};
+    return usage_nonce{.ledger = value[0].get<std::uint64_t>(), .made_at = value[1].get<time_ms>()};
 }
 
 } // namespace
@@ -70,8 +69,8 @@
         json& claims = value["o"] = json::object();
         for (const auto& [name, claim] : request.claims)
         {
-            claims[name] = json::array(
-                {claim.held, claim.spent, claim.waiting, claim.wanted, claim.demand});
+            claims[name] =
+                json::array({claim.held, claim.spent, claim.waiting, claim.wanted, claim.demand});
         }
     }
     return value;
--- a/src/usage/messages.hpp
+++ b/src/usage/messages.hpp
@@ -74,7 +74,8 @@
 
 struct usage_grant
 {
-    /** Tokens that the daemon may hold, including those that it reported, less those spent since. */
+    /** Tokens that the daemon may hold, including those that it reported, less those spent since.
+     */
     int tokens = 0;
     /** Expected time until more tokens are available; 0 if all waiting calls got one. */
     time_ms more_in = 0;
--- a/src/usage/usage.cpp
+++ b/src/usage/usage.cpp
@@ -69,10 +69,20 @@
  * empty table and must not take itself for the only one. */
 bool knows_members(const node& self)
 {
+    if (self.first_peer_response_at > 0)
+    {
+        return true;
+    }
     const endpoint own = own_control_endpoint(self);
     const bool has_seeds = std::any_of(self.config.seeds.begin(), self.config.seeds.end(),
                                        [&](const endpoint& seed) { return seed != own; });
-    return !has_seeds || self.first_peer_response_at > 0;
+    // Daemons of the domain that announced themselves in the log.
+    const bool has_contacts = std::any_of(self.contacts.begin(), self.contacts.end(),
+                                          [&](const auto& item) {
+                                              return item.second.domain == self.config.domain &&
+                                                     item.first != self.config.id;
+                                          });
+    return self.contacts_read_at > 0 && !has_seeds && !has_contacts;
 }
 
 void log_support(node& self, time_ms now)
@@ -105,11 +115,12 @@
     }
     count(self.stats, "usage_refused{reason=\"limit\"}");
     const time_ms more_in = time_until_tokens(wallet, organisation, now);
-    return {.reason = fmt::format("the usage limit of organisation '{}' is reached; the coordinator "
-                                  "'{}', with the support of {}% of the daemons, answered {} ms ago "
-                                  "and expects tokens in {} ms",
-                                  organisation, wallet.coordinator, wallet.support_percent,
-                                  now - wallet.answered_at, more_in),
+    return {.reason =
+                fmt::format("the usage limit of organisation '{}' is reached; the coordinator "
+                            "'{}', with the support of {}% of the daemons, answered {} ms ago "
+                            "and expects tokens in {} ms",
+                            organisation, wallet.coordinator, wallet.support_percent,
+                            now - wallet.answered_at, more_in),
             .retry_after = more_in > 0 ? more_in : silent_coordinator_retry_after_ms};
 }
 
@@ -287,14 +298,13 @@
         return;
     }
     const time_ms now = boot_now();
-    const bool short_of_tokens =
-        std::any_of(usage.wallet.accounts.begin(), usage.wallet.accounts.end(),
-                    [&](const auto& item)
-                    {
-                        return (item.second.waiting > 0 || item.second.last_call_at >
-                                                               usage.wallet.sent_at) &&
-                               needs_tokens(usage.wallet, item.first, now);
-                    });
+    const bool short_of_tokens = std::any_of(
+        usage.wallet.accounts.begin(), usage.wallet.accounts.end(),
+        [&](const auto& item)
+        {
+            return (item.second.waiting > 0 || item.second.last_call_at > usage.wallet.sent_at) &&
+                   needs_tokens(usage.wallet, item.first, now);
+        });
     if (now >= usage.regular_due || short_of_tokens)
     {
         send_message(self);
@@ -384,8 +394,7 @@
     }
     const time_ms hold =
         std::min(max_hold_ms, (call.deadline - steady_now()) / hold_part_of_time_left);
-    usage.waiters[organisation].push_back(
-        {.call = id, .decided_by = usage.wallet.sequence + 1});
+    usage.waiters[organisation].push_back({.call = id, .decided_by = usage.wallet.sequence + 1});
     set_waiting(usage, organisation);
     run_after(*self.loop, std::max<time_ms>(hold, 1),
               [&self, organisation, id] { refuse_waiter(self, organisation, id); });
--- a/src/usage/wallet.cpp
+++ b/src/usage/wallet.cpp
@@ -138,9 +138,8 @@
         request.echo = wallet.nonce;
         wallet.supported_ledger = wallet.nonce->ledger;
         // The nonce was made before its answer arrived.
-        wallet.support_until = std::max(wallet.support_until, wallet.answered_at +
-                                                                  usage_support_ms +
-                                                                  clock_margin_ms);
+        wallet.support_until =
+            std::max(wallet.support_until, wallet.answered_at + usage_support_ms + clock_margin_ms);
     }
     std::erase_if(wallet.accounts, [now](const auto& item)
                   { return item.second.settled && !is_active(item.second, now); });
--- a/src/usage/wallet.hpp
+++ b/src/usage/wallet.hpp
@@ -17,7 +17,8 @@
     int balance = 0;
     /** The balance is void from this time on. */
     time_ms term_end = 0;
-    /** Tokens spent since the last answered message, and how many of them a message has reported. */
+    /** Tokens spent since the last answered message, and how many of them a message has reported.
+     */
     int spent = 0;
     int reported = 0;
     /** Decaying number of recent calls. */
@@ -27,7 +28,8 @@
     int waiting = 0;
     /** Earliest time at which the coordinator expects to have more tokens. */
     time_ms more_at = 0;
-    /** The last answered claim was empty, so that the coordinator holds nothing for this account. */
+    /** The last answered claim was empty, so that the coordinator holds nothing for this account.
+     */
     bool settled = true;
 };
 
--- a/test/usage-test.cpp
+++ b/test/usage-test.cpp
@@ -108,7 +108,10 @@
         }
     }
 
-    double uniform() { return std::uniform_real_distribution<>(0, 1)(this->random); }
+    double uniform()
+    {
+        return std::uniform_real_distribution<>(0, 1)(this->random);
+    }
 
     time_ms between(time_ms low, time_ms high)
     {
@@ -173,16 +176,15 @@
     {
         simulated_daemon& daemon = this->daemons[from];
         const std::size_t to = daemon.coordinator;
-        const usage_request request =
-            make_usage_request(daemon.wallet, this->daemons[to].id,
-                               static_cast<int>(this->daemons.size()), this->now);
+        const usage_request request = make_usage_request(
+            daemon.wallet, this->daemons[to].id, static_cast<int>(this->daemons.size()), this->now);
         const bool first = !daemon.wallet.nonce;
         daemon.regular_due = this->now + usage_interval_ms;
         ++this->sent;
         this->bytes += this->options.count_bytes ? to_json(request).dump().size() : 0;
         const std::uint64_t incarnation = daemon.wallet.incarnation;
-        const auto apply = [this, from, incarnation, first, sequence = request.sequence](
-                               const usage_answer& answer)
+        const auto apply = [this, from, incarnation, first,
+                            sequence = request.sequence](const usage_answer& answer)
         {
             simulated_daemon& sender = this->daemons[from];
             if (sender.wallet.incarnation == incarnation &&
@@ -377,8 +379,8 @@
     }
 };
 
-/** Daemons of each group take the first running one of their group as coordinator, but for some that
- * believe in another. */
+/** Daemons of each group take the first running one of their group as coordinator, but for some
+ * that believe in another. */
 void update_views(cluster& system)
 {
     for (std::size_t i = 0; i < system.daemons.size(); ++i)
@@ -554,8 +556,8 @@
                                 bound_of(system.organisations["large"]));
     for (const char* name : {"small", "bursty"})
     {
-        ratio = std::max(ratio,
-                         system.most_runs(name, 0, end) / bound_of(system.organisations[name]));
+        ratio =
+            std::max(ratio, system.most_runs(name, 0, end) / bound_of(system.organisations[name]));
     }
     return ratio;
 }
@@ -581,7 +583,6 @@
     return violations;
 }
 
-
 /** A coordinator with one daemon that supports it, and its wallet. */
 struct pair_of_daemon_and_coordinator
 {
@@ -590,7 +591,10 @@
     usage_wallet wallet{.id = "vm-1", .incarnation = 3};
     time_ms now = 100'000;
 
-    usage_request request() { return make_usage_request(this->wallet, "vm-2", 1, this->now); }
+    usage_request request()
+    {
+        return make_usage_request(this->wallet, "vm-2", 1, this->now);
+    }
 
     usage_answer handle(const usage_request& message)
     {
@@ -615,7 +619,10 @@
         this->exchange();
     }
 
-    int balance() { return this->wallet.accounts["north"].balance; }
+    int balance()
+    {
+        return this->wallet.accounts["north"].balance;
+    }
 };
 
 } // namespace
@@ -639,11 +646,10 @@
 
 BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected)
 {
-    for (const char* text :
-         {"{}", "[]", "7", R"({"id":"a","i":1,"q":1,"n":0})",
-          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3]}})",
-          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,-2,3,4,5]}})",
-          R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3,4,1e12]}})"})
+    for (const char* text : {"{}", "[]", "7", R"({"id":"a","i":1,"q":1,"n":0})",
+                             R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3]}})",
+                             R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,-2,3,4,5]}})",
+                             R"({"id":"a","i":1,"q":1,"n":1,"o":{"north":[1,2,3,4,1e12]}})"})
     {
         BOOST_TEST(!parse_usage_request(nlohmann::json::parse(text)), text);
     }
@@ -692,8 +698,8 @@
     BOOST_TEST(take_token(this->wallet, "north", this->now).has_value());
 }
 
-// Guards against a token that is used twice: the coordinator counts a spent token as gone as soon as
-// a message reports it.
+// Guards against a token that is used twice: the coordinator counts a spent token as gone as soon
+// as a message reports it.
 BOOST_FIXTURE_TEST_CASE(reported_tokens_are_not_put_back, pair_of_daemon_and_coordinator)
 {
     this->settle();
