Add the decisions on hedged requests

The retry ledger counts hedges as retries and bounds them by their own ratio and by half of the budget. Nothing calls these functions yet.

--- a/include/sardinepoint/retry_ledger.hpp
+++ b/include/sardinepoint/retry_ledger.hpp
@@ -32,6 +32,8 @@
         std::uint32_t calls = 0;
         /** Fractional, since a call may count as a retry with some probability. */
         double retries = 0;
+        /** Hedges, which are counted as retries too. */
+        std::uint32_t hedges = 0;
     };
     std::array<bucket, window_buckets> buckets{};
 };
@@ -64,6 +66,13 @@
 bool take_retry(retry_counts& counts, const std::string& service, const retry_limits& limits,
                 std::size_t daemons, time_ms now);
 
+/**
+ * Counts a hedge, as a retry, if it fits this daemon's part of the budget and hedges stay below the
+ * given fraction of the calls and below half of the budget. Returns whether it did.
+ */
+bool take_hedge(retry_counts& counts, const std::string& service, const retry_limits& limits,
+                double hedge_ratio, std::size_t daemons, time_ms now);
+
 /** Whether take_retry() would succeed. */
 bool can_retry(const retry_counts& counts, const std::string& service, const retry_limits& limits,
                std::size_t daemons, time_ms now);
