Hedge slow attempts of idempotent calls

The caller's daemon sends a second attempt when the first is slower than the route's percentile ([sidecar] hedge_ratio, hedge_percentile; off by default). The daemon beside the upstream runs it only on a slot that is free, which a further field of the terms asks for; the field is written only for hedges. The first final answer wins and the other attempt is cancelled. If the first attempt fails, the hedge becomes the call's attempt.

--- a/include/sardinepoint/admission.hpp
+++ b/include/sardinepoint/admission.hpp
@@ -146,6 +146,9 @@
 /** Gives the call a slot, queues it by priority, or refuses it. */
 admission admit(admission_queue& queue, admission_request item, time_ms now);
 
+/** Whether a new call would run at once. */
+bool has_free_slot(const admission_queue& queue);
+
 /** Outcome of freeing a slot. */
 struct release_result
 {
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -46,6 +46,10 @@
     time_ms retry_window = 10000;
     /** Retries that all daemons together may add to that fraction in a window. */
     int retry_extra = 64;
+    /** Second attempts for slow answers as a fraction of a service's calls; 0 makes none. */
+    double hedge_ratio = 0;
+    /** Percentile of a route's latencies after which its calls get a second attempt. */
+    double hedge_percentile = 0.95;
 
     bool operator==(const sidecar_settings&) const = default;
 };
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -291,13 +291,18 @@
             .service_time = static_cast<time_ms>(std::ceil(queue.service_time.ms))};
 }
 
+bool has_free_slot(const admission_queue& queue)
+{
+    return queue.running < queue.slots && queue.waiting.empty();
+}
+
 admission admit(admission_queue& queue, admission_request item, time_ms now)
 {
     route_stats& stats = stats_of(queue, item.route, now);
     stats.priority = item.priority;
     stats.parent_priority = item.parent_priority;
     stats.offered += 1;
-    if (queue.running < queue.slots && queue.waiting.empty())
+    if (has_free_slot(queue))
     {
         take_slot(queue, now);
         return {.kind = admission_kind::run};
--- a/src/hedging/latency_histogram.cpp
+++ b/src/hedging/latency_histogram.cpp
@@ -26,7 +26,8 @@
     {
         return 0;
     }
-    const double position = std::ceil(std::log(latency_ms / first_bin_end_ms) / std::log(bin_growth));
+    const double position =
+        std::ceil(std::log(latency_ms / first_bin_end_ms) / std::log(bin_growth));
     return std::min(static_cast<std::size_t>(position), hedge_latency_bins - 1);
 }
 
--- a/src/hedging/latency_histogram.hpp
+++ b/src/hedging/latency_histogram.hpp
@@ -24,8 +24,8 @@
 void record_latency(decaying_latencies& latencies, double latency_ms, time_ms now);
 
 /**
- * Latency that the given fraction of the recent calls does not exceed; empty while there are too few
- * calls to tell.
+ * Latency that the given fraction of the recent calls does not exceed; empty while there are too
+ * few calls to tell.
  */
 std::optional<double> latency_percentile(const decaying_latencies& latencies, double percentile);
 
--- a/src/hop_codec.cpp
+++ b/src/hop_codec.cpp
@@ -57,6 +57,10 @@
     {
         body["o"] = terms.organisation;
     }
+    if (terms.needs_free_slot)
+    {
+        body["now"] = true;
+    }
     // Header values must be ASCII, while names in the configuration may hold other characters.
     set_header(request.headers, call_headers::terms,
                body.dump(-1, ' ', true, json::error_handler_t::replace));
@@ -81,7 +85,8 @@
                          .latency_target_time_left = body.at("g").get<time_ms>(),
                          .time_left = body.at("t").get<time_ms>(),
                          .idempotent = body.at("rep").get<bool>(),
-                         .is_retry = body.at("again").get<bool>()};
+                         .is_retry = body.at("again").get<bool>(),
+                         .needs_free_slot = body.value("now", false)};
     }
     catch (const json::exception&)
     {
--- a/src/hop_codec.hpp
+++ b/src/hop_codec.hpp
@@ -28,6 +28,8 @@
     bool idempotent = false;
     /** An upstream has received an earlier attempt of the call. */
     bool is_retry = false;
+    /** The call is returned as not run unless a slot is free when it arrives. */
+    bool needs_free_slot = false;
 };
 
 /** Metadata that the daemon beside the upstream adds to a response. */
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -381,6 +381,11 @@
         return id;
     }
     admission_queue& queue = self.sidecar_state->served->queue;
+    if (call.terms.needs_free_slot && !has_free_slot(queue))
+    {
+        finish(self, std::move(created), not_run("no slot is free now"));
+        return id;
+    }
     const admission decision =
         admit(queue,
               {.id = id,
--- a/src/instance_choice.cpp
+++ b/src/instance_choice.cpp
@@ -53,6 +53,20 @@
                                                                      : found->second / bytes_per_kb;
 }
 
+std::optional<placement> place_among(node& self, const outbound_call& call,
+                                     const instance_group& group,
+                                     std::span<const std::size_t> positions)
+{
+    const placement_request request{.own_member = self.config.id,
+                                    .locality = self.config.sidecar.locality,
+                                    .response_kb = average_response_kb(self, call.route),
+                                    .lag_ms = current_lag_ms(self.lag, steady_now()),
+                                    .tried = call.tried,
+                                    .eligible = positions};
+    return place_call(group.views, request, self.sidecar_state->placement_params, steady_now(),
+                      self.random);
+}
+
 } // namespace
 
 std::optional<placement> choose_instance(node& self, outbound_call& call,
@@ -67,14 +81,7 @@
     }
     const std::vector<std::size_t> positions =
         eligible_instances(self, call, group, rule, call.to_new_version);
-    const placement_request request{.own_member = self.config.id,
-                                    .locality = self.config.sidecar.locality,
-                                    .response_kb = average_response_kb(self, call.route),
-                                    .lag_ms = current_lag_ms(self.lag, steady_now()),
-                                    .tried = call.tried,
-                                    .eligible = positions};
-    const auto chosen = place_call(group.views, request, self.sidecar_state->placement_params,
-                                   steady_now(), self.random);
+    const auto chosen = place_among(self, call, group, positions);
     if (!chosen && std::exchange(call.to_new_version, false))
     {
         return choose_instance(self, call, group);
@@ -82,6 +89,17 @@
     return chosen;
 }
 
+std::optional<placement> choose_hedge_instance(node& self, const outbound_call& call,
+                                               const instance_group& group)
+{
+    // A second attempt must not add to the new version's share.
+    const std::vector<std::size_t> positions =
+        eligible_instances(self, call, group, version_rule_of(self, call.service), false);
+    const std::vector<std::size_t> candidates = hedge_candidates(
+        group.views, positions, call.tried, self.sidecar_state->placement_params, steady_now());
+    return candidates.empty() ? std::nullopt : place_among(self, call, group, candidates);
+}
+
 void record_response_size(node& self, const std::string& route, std::size_t bytes)
 {
     constexpr double gain = 0.1;
--- a/src/instance_choice.hpp
+++ b/src/instance_choice.hpp
@@ -17,6 +17,11 @@
 std::optional<placement> choose_instance(node& self, outbound_call& call,
                                          const instance_group& group);
 
+/** Chooses an instance with a free slot for a second attempt of the call; empty if there is none.
+ */
+std::optional<placement> choose_hedge_instance(node& self, const outbound_call& call,
+                                               const instance_group& group);
+
 /**
  * Updates the average response size of the route, which determines the cost of other localities.
  */
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -131,25 +131,68 @@
     respond(self, id, std::move(response), "not-run", reason);
 }
 
-/** Cancels the attempt in progress. */
-void abort_attempt(node& self, outbound_call& call)
+/** Cancels an attempt in progress. */
+void abort_attempt(node& self, const outbound_call& call, call_attempt& attempt)
 {
-    if (call.forwarded)
+    if (attempt.forwarded)
     {
-        cancel_call(*self.sidecar_state->peer_pool, *call.forwarded);
-        call.forwarded.reset();
+        cancel_call(*self.sidecar_state->peer_pool, *attempt.forwarded);
+        attempt.forwarded.reset();
     }
-    if (call.inbound)
+    if (attempt.inbound)
     {
-        cancel_inbound(self, *call.inbound);
-        call.inbound.reset();
+        cancel_inbound(self, *attempt.inbound);
+        attempt.inbound.reset();
     }
-    if (instance_view* view = find_instance(self, call.service, call.instance))
+    if (instance_view* view = find_instance(self, call.service, attempt.instance))
     {
         record_ended(*view);
     }
 }
 
+void log_hedge(node& self, const outbound_call& call, const call_attempt& hedge,
+               std::string_view outcome, std::string_view reason = "")
+{
+    count(self.stats, "hedges{outcome=\"" + std::string(outcome) + "\"}");
+    log_event(log_level::info, "hedge",
+              {{"id", call.caller.id},
+               {"route", call.route},
+               {"service", call.service},
+               {"instance", hedge.instance},
+               {"first_instance", call.instance},
+               {"outcome", outcome},
+               {"delay_ms", hedge.offered_at - call.offered_at},
+               {"ms", steady_now() - hedge.offered_at},
+               {"reason", reason}});
+}
+
+void abort_hedge(node& self, outbound_call& call, std::string_view outcome)
+{
+    if (call.hedge)
+    {
+        abort_attempt(self, call, *call.hedge);
+        log_hedge(self, call, *call.hedge, outcome);
+        call.hedge.reset();
+    }
+}
+
+void cancel_hedge_timer(node& self, outbound_call& call)
+{
+    if (call.hedge_timer)
+    {
+        cancel_timer(*self.loop, *call.hedge_timer);
+        call.hedge_timer.reset();
+    }
+}
+
+/** Cancels the call's attempts in progress. */
+void abort_attempts(node& self, outbound_call& call)
+{
+    cancel_hedge_timer(self, call);
+    abort_attempt(self, call, call);
+    abort_hedge(self, call, "cancelled");
+}
+
 /** Ends a call that can't wait any longer. The status is used if the call may have run. */
 void abort_call(node& self, std::uint64_t id, const std::string& reason, int status)
 {
@@ -160,7 +203,7 @@
     }
     if (call->forwarded || call->inbound)
     {
-        abort_attempt(self, *call);
+        abort_attempts(self, *call);
         respond_outcome_unknown(self, id, reason + "; its outcome is unknown", status);
         return;
     }
@@ -274,33 +317,51 @@
     return call.idempotent && !is_quarantined_call(self, call) && acquire_retry(self, call);
 }
 
-/** Whether the call's upstream is slow because it started only recently. */
-bool runs_on_cold_upstream(node& self, const outbound_call& call)
+/** Whether the attempt's upstream is slow because it started only recently. */
+bool runs_on_cold_upstream(node& self, const outbound_call& call, const call_attempt& attempt)
 {
-    const instance_view* view = find_instance(self, call.service, call.instance);
+    const instance_view* view = find_instance(self, call.service, attempt.instance);
     return view != nullptr && steady_now() < view->cold_until;
 }
 
-void record_version_evidence(node& self, const outbound_call& call, const hop_report& report,
-                             int status)
+void record_version_evidence(node& self, const outbound_call& call, const call_attempt& attempt,
+                             const hop_report& report, int status)
 {
-    const bool cold = runs_on_cold_upstream(self, call);
+    const bool cold = runs_on_cold_upstream(self, call, attempt);
     record_attempt_evidence(self, {.service = call.service,
                                    .route = call.route,
-                                   .version = call.version,
+                                   .version = attempt.version,
                                    .outcome = report.outcome,
                                    .status = status,
                                    .elapsed = report.upstream_time,
                                    .cold = cold,
                                    .crashed = report.crashed,
-                                   .counted_as_slow = call.counted_as_slow,
+                                   .counted_as_slow = attempt.counted_as_slow,
                                    .fingerprint = call.fingerprint});
 }
 
-void record_attempt(node& self, const outbound_call& call, const hop_report& report, int status,
-                    bool from_daemon)
+/** Counts an attempt in progress as evidence for moves if it is already slow. */
+void record_if_slow(node& self, const outbound_call& call, call_attempt& attempt)
 {
-    instance_view* view = find_instance(self, call.service, call.instance);
+    if (attempt.counted_as_slow || runs_on_cold_upstream(self, call, attempt))
+    {
+        return;
+    }
+    // Only the time at the upstream counts, so the expected wait for a slot is deducted.
+    const time_ms now = steady_now();
+    const time_ms wait = std::max<time_ms>(attempt.expected_wait, 0) +
+                         static_cast<time_ms>(current_lag_ms(self.lag, now));
+    attempt.counted_as_slow =
+        record_running_attempt(self, {.service = call.service,
+                                      .route = call.route,
+                                      .version = attempt.version,
+                                      .elapsed = now - attempt.offered_at - wait});
+}
+
+void record_attempt(node& self, const outbound_call& call, const call_attempt& attempt,
+                    const hop_report& report, int status, bool from_daemon)
+{
+    instance_view* view = find_instance(self, call.service, attempt.instance);
     if (view != nullptr)
     {
         const time_ms now = steady_now();
@@ -308,9 +369,9 @@
         if (from_daemon)
         {
             record_report(*view, report.queue, now);
-            record_network_delay(*view, now - call.offered_at - report.daemon_time,
+            record_network_delay(*view, now - attempt.offered_at - report.daemon_time,
                                  self.sidecar_state->placement_params, now);
-            peer_liveness& peer = self.sidecar_state->peers[call.member];
+            peer_liveness& peer = self.sidecar_state->peers[attempt.member];
             peer.heard_at = now;
             peer.network_delay = view->network_delay;
         }
@@ -324,23 +385,110 @@
             record_no_response(*view, self.sidecar_state->placement_params, now);
         }
     }
-    record_version_evidence(self, call, report, status);
+    record_version_evidence(self, call, attempt, report, status);
+}
+
+bool has_arrived(const hop_report& report)
+{
+    return report.outcome != run_outcome::not_run || report.arrived;
+}
+
+/** Whether the result is a response that ends the call whatever other attempts return. */
+bool is_final(const inbound_result& result)
+{
+    return result.report.outcome == run_outcome::answered &&
+           result.response.status < first_server_error;
+}
+
+void deliver_answer(node& self, const outbound_call& call, inbound_result result)
+{
+    strip_connection_headers(result.response.headers);
+    strip_internal_headers(result.response.headers);
+    record_response_size(self, call.route, result.response.body.size());
+    respond(self, call.id.value, std::move(result.response), "answered", result.report.reason);
+}
+
+/** Updates what decides on hedges after the call's last attempt has ended. */
+void record_for_hedging(node& self, outbound_call& call, const inbound_result& result,
+                        bool from_daemon)
+{
+    hedge_state& hedging = self.sidecar_state->hedging;
+    const time_ms now = steady_now();
+    if (is_final(result))
+    {
+        record_attempt_latency(hedging, call.route, static_cast<double>(now - call.offered_at),
+                               now);
+        if (call.hedge_timer)
+        {
+            record_overdue(hedging, call.route, false);
+        }
+    }
+    else if (from_daemon && result.report.outcome == run_outcome::not_run && !result.report.gone)
+    {
+        record_capacity_refusal(hedging, call.service, now);
+    }
+    cancel_hedge_timer(self, call);
+}
+
+void finish_hedge(node& self, outbound_call& call, inbound_result result, bool from_daemon)
+{
+    call_attempt hedge = *std::exchange(call.hedge, std::nullopt);
+    hedge.forwarded.reset();
+    hedge.inbound.reset();
+    const hop_report& report = result.report;
+    record_attempt(self, call, hedge, report, result.response.status, from_daemon);
+    call.arrivals += has_arrived(report) ? 1 : 0;
+    if (!is_final(result))
+    {
+        // The attempt in progress goes on; only its refusal would no longer mean "not run".
+        const bool refused = report.outcome == run_outcome::not_run;
+        log_hedge(self, call, hedge, refused ? "refused" : "failed", report.reason);
+        call.may_have_run = call.may_have_run || !refused;
+        if (from_daemon && refused && !report.gone)
+        {
+            record_capacity_refusal(self.sidecar_state->hedging, call.service, steady_now());
+        }
+        return;
+    }
+    log_hedge(self, call, hedge, "won");
+    const time_ms now = steady_now();
+    record_attempt_latency(self.sidecar_state->hedging, call.route,
+                           static_cast<double>(now - call.offered_at), now);
+    record_if_slow(self, call, call);
+    abort_attempt(self, call, call);
+    ++call.arrivals;
+    static_cast<call_attempt&>(call) = std::move(hedge);
+    deliver_answer(self, call, std::move(result));
 }
 
-void finish_offer(node& self, std::uint64_t id, inbound_result result, bool from_daemon)
+void finish_offer(node& self, std::uint64_t id, std::string_view instance, inbound_result result,
+                  bool from_daemon)
 {
     outbound_call* call = find_call(self, id);
     if (call == nullptr)
     {
         return;
     }
+    if (call->hedge && call->hedge->instance == instance)
+    {
+        finish_hedge(self, *call, std::move(result), from_daemon);
+        return;
+    }
     call->forwarded.reset();
     call->inbound.reset();
     const hop_report& report = result.report;
-    record_attempt(self, *call, report, result.response.status, from_daemon);
+    record_attempt(self, *call, *call, report, result.response.status, from_daemon);
+    record_for_hedging(self, *call, result, from_daemon);
     call->last_reason = report.reason;
-    const bool arrived = report.outcome != run_outcome::not_run || report.arrived;
+    const bool arrived = has_arrived(report);
     call->arrivals += arrived ? 1 : 0;
+    if (call->hedge && !is_final(result))
+    {
+        log_hedge(self, *call, *call->hedge, "promoted", report.reason);
+        call->may_have_run = call->may_have_run || report.outcome != run_outcome::not_run;
+        static_cast<call_attempt&>(*call) = *std::exchange(call->hedge, std::nullopt);
+        return;
+    }
     switch (report.outcome)
     {
     case run_outcome::answered:
@@ -350,10 +498,8 @@
             offer_call(self, id);
             return;
         }
-        strip_connection_headers(result.response.headers);
-        strip_internal_headers(result.response.headers);
-        record_response_size(self, call->route, result.response.body.size());
-        respond(self, id, std::move(result.response), "answered", report.reason);
+        abort_hedge(self, *call, "lost");
+        deliver_answer(self, *call, std::move(result));
         return;
     case run_outcome::not_run:
         if (call->offers < max_offers && (!arrived || acquire_retry(self, *call)))
@@ -402,12 +548,14 @@
     return result;
 }
 
-void send_offer(node& self, outbound_call& call, instance_view& view, const endpoint& daemon)
+/** Sends the call to the daemon beside the attempt's instance. */
+void send_offer(node& self, outbound_call& call, call_attempt& attempt, const endpoint& daemon)
 {
     const std::uint64_t id = call.id.value;
+    const bool is_hedge = &attempt != &call;
     const time_ms left = time_left(call);
     hop_terms terms{.id = call.caller.id,
-                    .instance = view.instance,
+                    .instance = attempt.instance,
                     .caller_service = self.config.sidecar.service,
                     .route = call.route,
                     .organisation = call.organisation,
@@ -417,18 +565,18 @@
                         std::max<time_ms>(call.latency_target_at - steady_now(), 0),
                     .time_left = std::max<time_ms>(left - peer_response_margin_ms, 1),
                     .idempotent = call.idempotent,
-                    .is_retry = call.arrivals > 0};
-    if (view.member == self.config.id)
+                    .is_retry = call.arrivals > 0 || is_hedge,
+                    .needs_free_slot = is_hedge};
+    if (attempt.member == self.config.id)
     {
         const std::uint64_t inbound =
             run_inbound(self, call.request, std::move(terms),
-                        [&self, id](inbound_result result)
-                        { finish_offer(self, id, std::move(result), true); });
-        // The callback may have run already and offered the call to another instance.
-        outbound_call* current = find_call(self, id);
-        if (current != nullptr && self.sidecar_state->inbound.contains(inbound))
+                        [&self, id, instance = attempt.instance](inbound_result result)
+                        { finish_offer(self, id, instance, std::move(result), true); });
+        // The callback may have run already, ended the attempt and started another one.
+        if (self.sidecar_state->inbound.contains(inbound))
         {
-            current->inbound = inbound;
+            attempt.inbound = inbound;
         }
         return;
     }
@@ -436,7 +584,7 @@
     strip_connection_headers(request.headers);
     strip_internal_headers(request.headers);
     write_terms(request, terms);
-    call.forwarded = send_request(
+    attempt.forwarded = send_request(
         *self.sidecar_state->peer_pool,
         {.peer = daemon,
          .method = std::move(request.method),
@@ -447,11 +595,11 @@
          .connect_timeout =
              std::min(left, timeout_with_lag(self.lag, peer_connect_timeout_ms, steady_now())),
          .max_idle = max_peer_reuse_idle(call.idempotent)},
-        [&self, id](http_result peer_result)
+        [&self, id, instance = attempt.instance](http_result peer_result)
         {
             bool from_daemon = false;
             inbound_result result = parse_peer_response(std::move(peer_result), from_daemon);
-            finish_offer(self, id, std::move(result), from_daemon);
+            finish_offer(self, id, instance, std::move(result), from_daemon);
         });
 }
 
@@ -469,6 +617,91 @@
     }
 }
 
+/** Reason not to hedge the call's slow attempt; empty after a hedge was sent. */
+std::string_view try_hedge(node& self, outbound_call& call)
+{
+    const time_ms now = steady_now();
+    const placement_options& options = self.sidecar_state->placement_params;
+    const hedge_state& hedging = self.sidecar_state->hedging;
+    instance_group& group = instances_of(self, call.service);
+    record_own_queue_report(self, call.service);
+    const std::string_view refusal =
+        hedge_refusal(hedging,
+                      {.route = call.route,
+                       .service = call.service,
+                       .is_idempotent = call.idempotent,
+                       .is_quarantined = is_quarantined_call(self, call),
+                       .shutting_down = self.leaving,
+                       .arrivals = call.arrivals + 1,
+                       .max_arrivals = max_arrivals(call),
+                       .load = reported_load(group.views, options, now)},
+                      now);
+    if (!refusal.empty())
+    {
+        return refusal;
+    }
+    if (!is_permitted(self, call))
+    {
+        return "not_permitted";
+    }
+    const auto chosen = choose_hedge_instance(self, call, group);
+    if (!chosen)
+    {
+        return "no_instance";
+    }
+    if (!has_time_for_hedge(hedging, call.route, time_left(call) - min_time_left_ms,
+                            chosen->known_service_time))
+    {
+        return "time";
+    }
+    if (!take_hedge(self.sidecar_state->retry_counts_by_service, call.service,
+                    self.sidecar_state->retry_bounds, hedging.options.ratio,
+                    live_daemon_count(self), now))
+    {
+        return "budget";
+    }
+    instance_view& view = group.views[chosen->index];
+    call.hedge = {.member = view.member,
+                  .instance = view.instance,
+                  .version = view.version,
+                  .offered_at = now,
+                  .report_age = chosen->report_age,
+                  .known_service_time = chosen->known_service_time,
+                  .expected_wait = chosen->wait};
+    call.tried.push_back(view.instance);
+    record_sent(view);
+    send_offer(self, call, *call.hedge, group.daemons[chosen->index]);
+    return {};
+}
+
+void schedule_hedge(node& self, outbound_call& call, time_ms due)
+{
+    const std::uint64_t id = call.id.value;
+    call.hedge_timer = run_after(
+        *self.loop, std::max<time_ms>(due - steady_now(), 1),
+        [&self, id, due]
+        {
+            outbound_call* slow_call = find_call(self, id);
+            if (slow_call == nullptr)
+            {
+                return;
+            }
+            slow_call->hedge_timer.reset();
+            const time_ms now = steady_now();
+            if (const time_ms postponement = timer_postponement(due, now); postponement > 0)
+            {
+                schedule_hedge(self, *slow_call, now + postponement);
+                return;
+            }
+            record_overdue(self.sidecar_state->hedging, slow_call->route, true);
+            const std::string_view refusal = try_hedge(self, *slow_call);
+            if (!refusal.empty())
+            {
+                count(self.stats, "hedges_skipped{reason=\"" + std::string(refusal) + "\"}");
+            }
+        });
+}
+
 void offer_call(node& self, std::uint64_t id)
 {
     outbound_call& call = *find_call(self, id);
@@ -512,7 +745,13 @@
     call.tried.push_back(view.instance);
     ++call.offers;
     record_sent(view);
-    send_offer(self, call, view, group.daemons[chosen->index]);
+    const auto delay = hedge_delay(self.sidecar_state->hedging, call.route,
+                                   current_lag_ms(self.lag, call.offered_at));
+    if (delay && call.idempotent)
+    {
+        schedule_hedge(self, call, call.offered_at + *delay);
+    }
+    send_offer(self, call, call, group.daemons[chosen->index]);
 }
 
 /** Time by which the response should arrive: by the route's latency target, which counts from the
@@ -631,22 +870,16 @@
 
 void record_running_calls(node& self)
 {
-    const time_ms now = steady_now();
-    const auto lag = static_cast<time_ms>(current_lag_ms(self.lag, now));
     for (auto& [id, call] : self.sidecar_state->outbound)
     {
-        const bool running = call->forwarded || call->inbound;
-        if (!running || call->counted_as_slow || runs_on_cold_upstream(self, *call))
+        if (call->forwarded || call->inbound)
         {
-            continue;
+            record_if_slow(self, *call, *call);
+        }
+        if (call->hedge)
+        {
+            record_if_slow(self, *call, *call->hedge);
         }
-        // Only the time at the upstream counts, so the expected wait for a slot is deducted.
-        const time_ms wait = std::max<time_ms>(call->expected_wait, 0) + lag;
-        call->counted_as_slow =
-            record_running_attempt(self, {.service = call->service,
-                                          .route = call->route,
-                                          .version = call->version,
-                                          .elapsed = now - call->offered_at - wait});
     }
 }
 
@@ -691,7 +924,7 @@
                {"us", steady_now_us() - call->arrived_us}});
     if (call->forwarded || call->inbound)
     {
-        abort_attempt(self, *call);
+        abort_attempts(self, *call);
     }
     if (call->deadline_timer)
     {
@@ -715,11 +948,15 @@
 
 void reroute_calls(node& self, const std::string& member, time_ms offered_before)
 {
+    const auto is_silent = [&](const call_attempt& attempt)
+    {
+        return attempt.member == member && attempt.forwarded &&
+               attempt.offered_at <= offered_before;
+    };
     std::vector<std::uint64_t> ids;
     for (const auto& [id, call] : self.sidecar_state->outbound)
     {
-        if (call->member == member && call->forwarded && call->idempotent &&
-            call->offered_at <= offered_before)
+        if (call->idempotent && (is_silent(*call) || (call->hedge && is_silent(*call->hedge))))
         {
             ids.push_back(id);
         }
@@ -729,12 +966,20 @@
     for (const std::uint64_t id : ids)
     {
         outbound_call* call = find_call(self, id);
+        if (call == nullptr)
+        {
+            continue;
+        }
         // If no retry is possible, the response may still arrive.
-        if (call != nullptr && call->forwarded && may_abort_for_retry(self, *call))
+        const bool may_abort_first = call->hedge || may_abort_for_retry(self, *call);
+        call_attempt* silent = is_silent(*call) && may_abort_first      ? call
+                               : call->hedge && is_silent(*call->hedge) ? &*call->hedge
+                                                                        : nullptr;
+        if (silent != nullptr)
         {
-            cancel_call(*self.sidecar_state->peer_pool, *call->forwarded);
-            finish_offer(self, id, {.report = {.reason = "the upstream's daemon is silent"}},
-                         false);
+            cancel_call(*self.sidecar_state->peer_pool, *silent->forwarded);
+            finish_offer(self, id, std::string(silent->instance),
+                         {.report = {.reason = "the upstream's daemon is silent"}}, false);
         }
     }
 }
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -13,8 +13,30 @@
 namespace sardinepoint
 {
 
-/** A call from a caller on this VM, kept until its response is sent. Times are steady. */
-struct outbound_call
+/** An attempt of a call at one instance. Each attempt of a call goes to a different instance. */
+struct call_attempt
+{
+    /** Daemon to which the call was offered. */
+    std::string member;
+    std::string instance;
+    std::string version;
+    time_ms offered_at = 0;
+    /** Whether a move has counted this attempt as slow while it runs. */
+    bool counted_as_slow = false;
+    /** Age of the queue report that the placement used; -1 without one. */
+    time_ms report_age = -1;
+    time_ms known_service_time = 0;
+    time_ms expected_wait = 0;
+    /** What is in progress: a request to another daemon, or a call on the upstream here. */
+    std::optional<call_id> forwarded;
+    std::optional<std::uint64_t> inbound;
+};
+
+/**
+ * A call from a caller on this VM, kept until its response is sent. The base is its last attempt.
+ * Times are steady.
+ */
+struct outbound_call : call_attempt
 {
     request_id id;
     http_request request;
@@ -53,20 +75,10 @@
     bool may_have_run = false;
     std::string last_reason;
 
-    /** Daemon to which the call was last offered. */
-    std::string member;
-    std::string instance;
-    std::string version;
-    time_ms offered_at = 0;
-    /** Whether a move has counted this attempt as slow while it runs. */
-    bool counted_as_slow = false;
-    /** Age of the queue report that the last placement used; -1 without one. */
-    time_ms report_age = -1;
-    time_ms known_service_time = 0;
-    time_ms expected_wait = 0;
-    /** The attempt in progress: a request to another daemon, or a call on the upstream here. */
-    std::optional<call_id> forwarded;
-    std::optional<std::uint64_t> inbound;
+    /** A second attempt, made only while the first is in progress. */
+    std::optional<call_attempt> hedge;
+    /** Set while the last attempt is in progress and may be hedged. */
+    std::optional<timer_id> hedge_timer;
     std::optional<timer_id> deadline_timer;
 };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -159,16 +159,22 @@
     };
 }
 
-std::optional<std::string> set_retry_ratio(settings& target, const std::string& value)
+setter number_setter(double sidecar_settings::*member, double low, double high)
 {
-    double number = -1;
-    const auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), number);
-    if (status != std::errc() || end != value.data() + value.size() || number < 0 || number > 1)
+    return [=](settings& target, const std::string& value) -> std::optional<std::string>
     {
-        return "a number from 0 to 1";
-    }
-    target.sidecar.retry_ratio = number;
-    return std::nullopt;
+        double number = low - 1;
+        const auto [end, status] =
+            std::from_chars(value.data(), value.data() + value.size(), number);
+        const bool is_number = status == std::errc() && end == value.data() + value.size();
+        // The comparison is false for NaN, too.
+        if (!is_number || !(number >= low && number <= high))
+        {
+            return fmt::format("a number from {} to {}", low, high);
+        }
+        target.sidecar.*member = number;
+        return std::nullopt;
+    };
 }
 
 setter boolean_setter(bool settings::*field)
@@ -345,7 +351,7 @@
         {{"sidecar", "retry_ratio", "", "0.2",
           "retries of a service's calls as a part of its calls in a window"},
          false,
-         set_retry_ratio},
+         number_setter(&sidecar_settings::retry_ratio, 0, 1)},
         {{"sidecar", "retry_window", "time", "10s", "window of the retry budget"},
          false,
          duration_setter(sidecar_member(&sidecar_settings::retry_window), 1000, hour_ms)},
@@ -353,6 +359,14 @@
           "retries that all daemons together may add to the ratio in a window"},
          false,
          integer_setter(sidecar_member(&sidecar_settings::retry_extra), 0, max_retry_extra)},
+        {{"sidecar", "hedge_ratio", "", "0",
+          "second attempts for slow answers as a part of a service's calls; 0: none"},
+         false,
+         number_setter(&sidecar_settings::hedge_ratio, 0, 0.5)},
+        {{"sidecar", "hedge_percentile", "", "0.95",
+          "percentile of a route's answer times after which a call gets a second attempt"},
+         false,
+         number_setter(&sidecar_settings::hedge_percentile, 0.5, 0.999)},
     };
     return all;
 }
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -162,6 +162,8 @@
     self.sidecar_state->retry_bounds = {.ratio = self.config.sidecar.retry_ratio,
                                         .window = self.config.sidecar.retry_window,
                                         .extra = self.config.sidecar.retry_extra};
+    self.sidecar_state->hedging.options = {.ratio = self.config.sidecar.hedge_ratio,
+                                           .percentile = self.config.sidecar.hedge_percentile};
     self.sidecar_state->peer_pool = open_connection_pool(*self.loop, pool_options(self.config));
     self.sidecar_state->outbound_server = open_pipelined_server(
         *self.loop, {.address = *self.config.sidecar.outbound, .turns = &self.sidecar_state->turns},
@@ -215,6 +217,8 @@
     self.sidecar_state->routes = make_route_table(self.config_replica.state);
     self.sidecar_state->keys = make_key_directory(self.config_replica.state);
     remove_unsplit_routes(self.sidecar_state->splits, self.config_replica.state);
+    std::erase_if(self.sidecar_state->hedging.attempts_by_route, [&](const auto& entry)
+                  { return !self.config_replica.state.routes.contains(entry.first); });
     set_limits(*self.sidecar_state->outbound_server, self.config_replica.state.limits);
 }
 
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hedging/hedge_policy.hpp"
 #include "instances.hpp"
 #include "node.hpp"
 #include "organisations/keys.hpp"
@@ -79,6 +80,7 @@
     /** Fraction of the calls on the upstream of this VM that are retries. */
     retry_rate upstream_retry_rate;
     placement_options placement_params;
+    hedge_state hedging;
     /** Timeouts that callers set for their calls, by route. */
     std::map<std::string, caller_timeouts, std::less<>> caller_timeouts_by_route;
     /** Moving average of the response size, by route. */
