--- a/support/model/load_figures.hpp
+++ b/support/model/load_figures.hpp
@@ -20,8 +20,8 @@
     double failed_inner = 0;
     /** Times from the callers' first attempts to their answers. */
     std::vector<double> latencies;
-    /** Calls on idempotent routes, and their second attempts. */
-    int idempotent_calls = 0;
+    /** Calls of callers and upstreams without retries, and their second attempts. */
+    int calls = 0;
     int hedges = 0;
     /** Slot time of all attempts, and of those whose results were not used. */
     double slot_ms = 0;
--- a/support/model/load_model.cpp
+++ b/support/model/load_model.cpp
@@ -91,7 +91,7 @@
     bool cancelled = false;
     /** The second attempt in progress, and the call that a second attempt belongs to. */
     std::shared_ptr<simulated_call> hedge;
-    std::weak_ptr<simulated_call> hedged;
+    std::shared_ptr<simulated_call> hedged;
     bool is_hedge = false;
 };
 
@@ -408,6 +408,7 @@
             : std::nullopt;
     if (!chosen)
     {
+        call->cancelled = true;
         call->done(call_result::refused);
         return;
     }
@@ -417,7 +418,7 @@
     {
         sardinepoint::record_call(daemon.retries, this->plan.services[service].name, 0, {},
                                   this->now_ms());
-        this->totals.idempotent_calls += this->plan.routes[call->route].idempotent ? 1 : 0;
+        ++this->totals.calls;
     }
     ++call->offers;
     call->offered_at = this->now;
@@ -599,7 +600,7 @@
 /** Ends an attempt at the daemon that sent it: the first answer of a call's attempts wins. */
 void simulation::end_attempt(const std::shared_ptr<simulated_call>& call, call_result result)
 {
-    const std::shared_ptr<simulated_call> first = call->is_hedge ? call->hedged.lock() : call;
+    const std::shared_ptr<simulated_call> first = call->is_hedge ? call->hedged : call;
     const std::shared_ptr<simulated_call> other = call->is_hedge ? first : call->hedge;
     sardinepoint::hedge_state& hedging = this->upstreams[first->daemon].hedging;
     const std::string& route = this->plan.routes[first->route].name;
@@ -623,11 +624,18 @@
         if (result != call_result::answered)
         {
             first->hedge = call->is_hedge ? nullptr : first->hedge;
-            ++first->arrivals;
+            first->arrivals += result == call_result::failed ? 1 : 0;
             return;
         }
         this->cancel(other);
     }
+    first->hedge = nullptr;
+    if (call->is_hedge && result == call_result::refused)
+    {
+        first->cancelled = false;
+        this->offer(first);
+        return;
+    }
     first->done(result);
 }
 
--- a/support/model/load_model.hpp
+++ b/support/model/load_model.hpp
@@ -83,7 +83,7 @@
     double p99_ms = 0;
     /** Fraction of the callers' calls that were answered after their latency target. */
     double late = 0;
-    /** Second attempts as a fraction of the calls on idempotent routes. */
+    /** Second attempts as a fraction of the calls. */
     double hedges = 0;
     /** Slot time of attempts that lost, as a fraction of the other slot time. */
     double extra_work = 0;
