--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -52,6 +52,10 @@
      * any second. */
     double cold_excess = 1.5;
     double cold_slack = 8;
+    /** Second attempts for slow answers as a fraction of a service's calls; 0 makes none. */
+    double hedge_ratio = 0;
+    /** Percentile of a route's latencies after which its calls get a second attempt. */
+    double hedge_percentile = 0.95;
 
     bool operator==(const sidecar_settings&) const = default;
 };
--- a/src/hop_codec.cpp
+++ b/src/hop_codec.cpp
@@ -61,6 +61,10 @@
     {
         body["cold"] = true;
     }
+    if (terms.needs_free_slot)
+    {
+        body["now"] = true;
+    }
     // Header values must be ASCII, while names in the configuration may hold other characters.
     set_header(request.headers, call_headers::terms,
                body.dump(-1, ' ', true, json::error_handler_t::replace));
@@ -86,7 +90,8 @@
                          .time_left = body.at("t").get<time_ms>(),
                          .idempotent = body.at("rep").get<bool>(),
                          .is_retry = body.at("again").get<bool>(),
-                         .has_cold_rate = body.value("cold", false)};
+                         .has_cold_rate = body.value("cold", false),
+                         .needs_free_slot = body.value("now", false)};
     }
     catch (const json::exception&)
     {
--- a/src/hop_codec.hpp
+++ b/src/hop_codec.hpp
@@ -30,6 +30,8 @@
     bool is_retry = false;
     /** The service has a cold rate, which the daemon beside the upstream must know. */
     bool has_cold_rate = false;
+    /** The call is returned as not run unless a slot is free when it arrives. */
+    bool needs_free_slot = false;
 };
 
 /** Metadata that the daemon beside the upstream adds to a response. */
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -159,16 +159,18 @@
     };
 }
 
-setter number_setter(double sidecar_settings::*member, int low, int high)
+setter number_setter(double sidecar_settings::*member, double low, double high)
 {
     return [=](settings& target, const std::string& value) -> std::optional<std::string>
     {
         double number = low - 1;
-        const char* last = value.data() + value.size();
-        const auto [end, status] = std::from_chars(value.data(), last, number);
-        if (status != std::errc() || end != last || !(number >= low && number <= high))
+        const auto [end, status] =
+            std::from_chars(value.data(), value.data() + value.size(), number);
+        const bool is_number = status == std::errc() && end == value.data() + value.size();
+        // The comparison is false for NaN, too.
+        if (!is_number || !(number >= low && number <= high))
         {
-            return "a number from " + std::to_string(low) + " to " + std::to_string(high);
+            return fmt::format("a number from {} to {}", low, high);
         }
         target.sidecar.*member = number;
         return std::nullopt;
@@ -372,6 +374,14 @@
           "calls that a cold upstream may get beyond that in any second"},
          false,
          number_setter(&sidecar_settings::cold_slack, 0, max_cold_slack)},
+        {{"sidecar", "hedge_ratio", "", "0",
+          "second attempts for slow answers as a part of a service's calls; 0: none"},
+         false,
+         number_setter(&sidecar_settings::hedge_ratio, 0, 0.5)},
+        {{"sidecar", "hedge_percentile", "", "0.95",
+          "percentile of a route's answer times after which a call gets a second attempt"},
+         false,
+         number_setter(&sidecar_settings::hedge_percentile, 0.5, 0.999)},
     };
     return all;
 }
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cold/cold_upstream.hpp"
+#include "hedging/hedge_policy.hpp"
 #include "instances.hpp"
 #include "node.hpp"
 #include "organisations/keys.hpp"
@@ -89,6 +90,7 @@
     /** Fraction of the calls on the upstream of this VM that are retries. */
     retry_rate upstream_retry_rate;
     placement_options placement_params;
+    hedge_state hedging;
     /** Timeouts that callers set for their calls, by route. */
     std::map<std::string, caller_timeouts, std::less<>> caller_timeouts_by_route;
     /** Moving average of the response size, by route. */
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -171,7 +171,8 @@
          << "\nupstream = " << to_string(daemon.upstream->address)
          << "\nservice = " << daemon.upstream->service
          << "\nlocality = " << daemon.upstream->locality
-         << "\nannounce_interval = " << announce_interval_ms << "ms\n";
+         << "\nannounce_interval = " << announce_interval_ms << "ms\n"
+         << self.sidecar_settings;
 }
 
 json route_json(const std::string& name, const std::string& prefix, const std::string& kind,
