--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -22,6 +22,7 @@
 
 constexpr time_ms announce_interval_ms = 300;
 constexpr time_ms response_margin_ms = 2000;
+constexpr std::size_t max_upstream_body_bytes = 128U << 20U;
 constexpr const char* host = "one.example";
 
 /** Status of the response, or 0 without one. */
@@ -133,6 +134,7 @@
          << "\ndata_port = " << daemon.data_port
          << "\nadvertised_control_port = " << daemon.relayed_control_port
          << "\nadvertised_data_port = " << daemon.relayed_data_port
+         << "\nmemory_mb = " << self.memory_mb
          << "\nshutdown_timeout_ms = 6s\nplatform = fleet\n[log]\nendpoint = "
          << to_string(self.relayed_store.value_or(self.store.address()))
          << "\npoll_wait_ms = " << self.store_poll_wait << "\ntimeout_ms = " << self.store_timeout
@@ -202,20 +204,19 @@
 void fleet::open_upstream(fleet_upstream& upstream)
 {
     error reason;
-    upstream.server =
-        open_http_server(*this->loop, {.port = upstream.address.port},
-                         {.on_request = [this, &upstream](request_id id, http_request request)
-                          { handle_request(*this, upstream, id, std::move(request)); },
-                          .on_cancelled =
-                              [this, &upstream](request_id)
-                          {
-                              for (received_request& request : this->received_requests)
-                              {
-                                  request.cancelled =
-                                      request.cancelled || request.instance == upstream.instance;
-                              }
-                          }},
-                         reason);
+    upstream.server = open_http_server(
+        *this->loop, {.port = upstream.address.port, .max_body_bytes = max_upstream_body_bytes},
+        {.on_request = [this, &upstream](request_id id, http_request request)
+         { handle_request(*this, upstream, id, std::move(request)); },
+         .on_cancelled =
+             [this, &upstream](request_id)
+         {
+             for (received_request& request : this->received_requests)
+             {
+                 request.cancelled = request.cancelled || request.instance == upstream.instance;
+             }
+         }},
+        reason);
     if (!upstream.server)
     {
         throw std::runtime_error(describe(reason));
@@ -294,7 +295,7 @@
               {"Services", names},
               {"Limits",
                {{"MaxHeaderBytes", 16384},
-                {"MaxBodyBytes", 1000000},
+                {"MaxBodyBytes", this->max_body_bytes},
                 {"HeaderTimeout", "3000ms"},
                 {"IdleTimeout", "15000ms"}}},
               {"Hosts", {{{"Host", host}, {"Paths", paths}}}}};
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -121,6 +121,10 @@
     std::map<std::string, fleet_organisation> organisations;
     /** Services whose routes need no key. */
     std::set<std::string> public_services;
+    /** Setting of daemons added later. */
+    int memory_mb = 256;
+    /** Limit on bodies in configurations that are published later. */
+    std::size_t max_body_bytes = 1'000'000;
 
     fleet(std::string build_dir, std::string_view name);
     ~fleet();
--- a/support/rig/process.cpp
+++ b/support/rig/process.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -196,4 +197,33 @@
     return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t peak_resident_bytes(pid_t pid)
+{
+    constexpr std::uint64_t bytes_per_kb = 1024;
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    std::string word;
+    std::uint64_t peak_kb = 0;
+    while (file >> word)
+    {
+        if (word == "VmHWM:")
+        {
+            file >> peak_kb;
+            break;
+        }
+    }
+    return peak_kb * bytes_per_kb;
+}
+
+std::size_t open_descriptors(pid_t pid)
+{
+    std::error_code problem;
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator entry("/proc/" + std::to_string(pid) + "/fd", problem);
+         !problem && entry != std::filesystem::directory_iterator(); entry.increment(problem))
+    {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace sardinepoint::rig
--- a/support/rig/process.hpp
+++ b/support/rig/process.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -50,4 +51,10 @@
 /** Resident memory of a process in bytes. */
 std::uint64_t resident_bytes(pid_t pid);
 
+/** Peak of the resident memory of a process in bytes; 0 if it has ended. */
+std::uint64_t peak_resident_bytes(pid_t pid);
+
+/** Number of open descriptors of a process; 0 if it has ended. */
+std::size_t open_descriptors(pid_t pid);
+
 } // namespace sardinepoint::rig
