--- a/include/sardinepoint/connection_pool.hpp
+++ b/include/sardinepoint/connection_pool.hpp
@@ -38,6 +38,8 @@
     /** Must include Host. The pool adds the framing headers. */
     std::vector<http_header> headers;
     std::string body;
+    /** Replaces `body` if set, so that several attempts share one copy. */
+    std::shared_ptr<const std::string> shared_body = {};
     time_ms timeout = 5000;
     time_ms connect_timeout = 1000;
     /** Maximum idle time of a connection that is reused for the call. */
--- a/include/sardinepoint/http_server.hpp
+++ b/include/sardinepoint/http_server.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "intake/gate.hpp"
+
 #include "sardinepoint/event_loop.hpp"
 #include "sardinepoint/http.hpp"
 
@@ -34,6 +36,8 @@
     unsigned max_connections = 1000;
     unsigned idle_timeout_s = 60;
     io_priority priority = io_priority::normal;
+    /** Limits that are shared with the process's other servers; without a gate none apply. */
+    intake::gate_options intake;
 };
 
 /** Callbacks of a server. Each request is answered once with send_response(), now or later. */
--- a/include/sardinepoint/pipelined_server.hpp
+++ b/include/sardinepoint/pipelined_server.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "intake/gate.hpp"
+
 #include "sardinepoint/config.hpp"
 #include "sardinepoint/event_loop.hpp"
 #include "sardinepoint/http.hpp"
@@ -39,6 +41,8 @@
      * each one immediately. Must outlive the server.
      */
     send_turns* turns = nullptr;
+    /** Limits that are shared with the process's other servers; without a gate none apply. */
+    intake::gate_options intake;
 };
 
 pipelined_server_ptr open_pipelined_server(event_loop& loop,
--- a/include/sardinepoint/settings.hpp
+++ b/include/sardinepoint/settings.hpp
@@ -50,6 +50,27 @@
     bool operator==(const sidecar_settings&) const = default;
 };
 
+/** Limits on clients that misbehave; see docs/design/misbehaving-clients.md. */
+struct intake_settings
+{
+    /** Percentage of the memory that peers may make the process hold. */
+    int memory_percent = 25;
+    /** Descriptors that the process may use; the operating system's limit applies too. */
+    int max_descriptors = 4096;
+    /** Limit on the header fields of a request. */
+    int max_fields = 1024;
+    /** Limits on bodies sent to the control port and to the platform's listeners. */
+    int control_body_kb = 16384;
+    int platform_body_kb = 64;
+    /** Time that any body or response may take; more time is given for this mean rate. */
+    time_ms slow_grace = 30000;
+    int min_bytes_per_s = 4096;
+    /** Longest time for which a body or response may make no progress. */
+    time_ms stall_timeout = 15000;
+
+    bool operator==(const intake_settings&) const = default;
+};
+
 /** Settings of a daemon, read from an INI file. */
 struct settings
 {
@@ -93,6 +114,7 @@
     std::string balancing = "least_loaded";
 
     sidecar_settings sidecar;
+    intake_settings intake;
 
     bool operator==(const settings&) const = default;
 };
--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -66,7 +67,10 @@
     /** The call that uses the connection or waits for it to open; 0 if idle or for a probe. */
     std::uint64_t call = 0;
     std::function<void(bool)> probe;
+    /** Head of the request. */
     std::string output;
+    std::shared_ptr<const std::string> body;
+    /** Bytes of the head and the body that were sent. */
     std::size_t sent = 0;
     /** Whether a call was already answered on this connection. */
     bool has_served_call = false;
@@ -117,10 +121,16 @@
     return found == pool.calls.end() ? nullptr : found->second.get();
 }
 
+/** Size of the request's head and body. */
+std::size_t output_size(const pooled_connection& connection)
+{
+    return connection.output.size() + (connection.body ? connection.body->size() : 0);
+}
+
 void update_watch(connection_pool& pool, const pooled_connection& connection)
 {
     const bool wants_write = connection.stage == connection_stage::connecting ||
-                             connection.sent < connection.output.size();
+                             connection.sent < output_size(connection);
     watch_fd(*pool.loop, connection.fd, {.read = true, .write = wants_write},
              [&pool, id = connection.id](io_interest) { handle_event(pool, id); });
 }
@@ -177,6 +187,9 @@
     connection.stage = connection_stage::idle;
     connection.call = 0;
     connection.parser.reset();
+    connection.output = {};
+    connection.body.reset();
+    connection.sent = 0;
     connection.idle_since = steady_now();
     pool.idle[connection.peer].push_back(connection.id);
     update_watch(pool, connection);
@@ -231,7 +244,7 @@
 void finish_response(connection_pool& pool, pooled_connection& connection)
 {
     const bool keep = connection.parser->keep_alive() && !connection.parser->get().need_eof() &&
-                      connection.input.empty() && connection.sent == connection.output.size();
+                      connection.input.empty() && connection.sent == output_size(connection);
     http_result result{.outcome = call_outcome::answered,
                        .response = take_response(*connection.parser)};
     const std::uint64_t call = connection.call;
@@ -405,13 +418,30 @@
     }
 }
 
+/** Sends the rest of the head and the body with one system call. */
+ssize_t send_next(const pooled_connection& connection)
+{
+    const std::size_t head = std::min(connection.sent, connection.output.size());
+    const std::size_t body = connection.sent - head;
+    std::array<iovec, 2> parts{
+        iovec{const_cast<char*>(connection.output.data()) + head, // NOLINT: only read
+              connection.output.size() - head},
+        iovec{}};
+    if (connection.body)
+    {
+        parts[1] = {const_cast<char*>(connection.body->data()) + body, // NOLINT: only read
+                    connection.body->size() - body};
+    }
+    const msghdr message{.msg_iov = parts.data(), .msg_iovlen = parts.size()};
+    return ::sendmsg(connection.fd, &message, MSG_NOSIGNAL);
+}
+
 /** False if the connection failed. */
 bool send_output(pooled_connection& connection)
 {
-    while (connection.sent < connection.output.size())
+    while (connection.sent < output_size(connection))
     {
-        const ssize_t result = ::send(connection.fd, connection.output.data() + connection.sent,
-                                      connection.output.size() - connection.sent, MSG_NOSIGNAL);
+        const ssize_t result = send_next(connection);
         if (result < 0)
         {
             return errno == EAGAIN || errno == EWOULDBLOCK;
@@ -421,23 +451,24 @@
     return true;
 }
 
-std::string request_text(const pool_call& call)
+std::string request_head(const pool_call& call)
 {
     std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
     append_headers(text, call.headers);
-    const bool has_body = !call.body.empty() || call.method == "POST" || call.method == "PUT" ||
-                          call.method == "PATCH";
+    const bool has_body = !call.shared_body->empty() || call.method == "POST" ||
+                          call.method == "PUT" || call.method == "PATCH";
     if (has_body)
     {
-        text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+        text += "Content-Length: " + std::to_string(call.shared_body->size()) + "\r\n";
     }
-    return text + "\r\n" + call.body;
+    return text + "\r\n";
 }
 
 void send_call(connection_pool& pool, pooled_connection& connection, const pooled_call& call)
 {
     connection.stage = connection_stage::busy;
-    connection.output = request_text(call.call);
+    connection.output = request_head(call.call);
+    connection.body = call.call.shared_body;
     connection.sent = 0;
     connection.input.clear();
     start_parser(connection, call);
@@ -527,7 +558,7 @@
         handle_connected(pool, *connection);
         return;
     }
-    if (connection->sent < connection->output.size())
+    if (connection->sent < output_size(*connection))
     {
         if (!send_output(*connection))
         {
@@ -674,6 +705,11 @@
     auto created = std::make_unique<pooled_call>();
     created->deadline = steady_now() + call.timeout;
     created->call = std::move(call);
+    if (!created->call.shared_body)
+    {
+        created->call.shared_body =
+            std::make_shared<const std::string>(std::exchange(created->call.body, {}));
+    }
     created->done = std::move(done);
     pool.calls[id] = std::move(created);
     start_call(pool, id);
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -18,8 +18,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <iostream>
+#include <limits>
 #include <tuple>
 
 namespace sardinepoint
@@ -28,6 +32,7 @@
 namespace
 {
 
+constexpr int large_block_bytes = 128 << 10;
 constexpr time_ms replica_tick_interval_ms = 50;
 constexpr time_ms lease_check_interval_ms = 100;
 constexpr time_ms waiting_hop_check_interval_ms = 5;
@@ -43,16 +48,19 @@
 
 bool open_data_server(node& self, error& reason)
 {
-    self.data_server = open_http_server(
-        *self.loop, {.address = self.config.address, .port = self.config.data_port},
-        {.on_request = [&self](request_id id, http_request request)
-         { handle_data_request(self, id, std::move(request)); },
-         .on_cancelled =
-             [&self](request_id id)
-         {
-             handle_data_cancelled(self, id);
-         }},
-        reason);
+    self.data_server =
+        open_http_server(*self.loop,
+                         {.address = self.config.address,
+                          .port = self.config.data_port,
+                          .intake = intake_options(self, intake::listener_role::calls, "data")},
+                         {.on_request = [&self](request_id id, http_request request)
+                          { handle_data_request(self, id, std::move(request)); },
+                          .on_cancelled =
+                              [&self](request_id id)
+                          {
+                              handle_data_cancelled(self, id);
+                          }},
+                         reason);
     if (!self.data_server)
     {
         return false;
@@ -61,17 +69,30 @@
     return true;
 }
 
+/** The operating system's limit on the descriptors of this process. */
+std::size_t descriptor_limit()
+{
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur
+                                                   : std::numeric_limits<std::size_t>::max();
+}
+
 bool open_servers(node& self, error& reason)
 {
-    self.control_server =
-        open_http_server(*self.loop,
-                         {.address = self.config.address,
-                          .port = self.config.control_port,
-                          .priority = io_priority::urgent},
-                         {.on_request = [&self](request_id id, const http_request& request)
-                          { handle_control_request(self, id, request); },
-                          .on_cancelled = {}},
-                         reason);
+    self.intake = std::make_unique<intake::gate>(
+        *self.loop, self.stats,
+        intake::budget_bytes(self.config, self.config_replica.state.limits.max_body_bytes));
+    self.control_server = open_http_server(
+        *self.loop,
+        {.address = self.config.address,
+         .port = self.config.control_port,
+         .max_body_bytes = static_cast<std::size_t>(self.config.intake.control_body_kb) << 10U,
+         .priority = io_priority::urgent,
+         .intake = intake_options(self, intake::listener_role::control, "control")},
+        {.on_request = [&self](request_id id, const http_request& request)
+         { handle_control_request(self, id, request); },
+         .on_cancelled = {}},
+        reason);
     if (!self.control_server)
     {
         return false;
@@ -318,6 +339,13 @@
                 static_cast<std::size_t>(config.memory_mb) * bytes_per_mb / memory_divisor};
 }
 
+intake::gate_options intake_options(const node& self, intake::listener_role role, std::string name)
+{
+    return {self.intake.get(),
+            intake::limits_of(self.config, role, std::move(name), descriptor_limit(),
+                              self.intake->budget.max_bytes)};
+}
+
 std::uint64_t control_bytes(const node& self)
 {
     return transferred_bytes(*self.control_client) + transferred_bytes(*self.control_server);
@@ -325,6 +353,9 @@
 
 int run_daemon(const settings& config, const std::string& settings_file)
 {
+    // Released blocks of this size go back to the system at once. By default the threshold grows
+    // with the blocks that are released, and bodies of closed connections would stay resident.
+    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
     event_loop_ptr loop = make_event_loop();
     node self;
     self.config = config;
@@ -369,6 +400,7 @@
     self.sidecar_state.reset();
     self.data_server.reset();
     self.control_server.reset();
+    self.intake.reset();
     self.upstream_pool.reset();
     self.data_client.reset();
     self.control_client.reset();
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,9 +7,13 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
+#include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -28,17 +32,44 @@
 // Status line, Content-Length header and empty line of a typical response.
 constexpr std::uint64_t status_line_bytes = 40;
 
+constexpr time_ms sweep_interval_ms = 500;
+// Time for the first request of a connection and for the head of any request.
+constexpr time_ms head_timeout_ms = 15'000;
+// Accounted for a request in addition to its body: header list, connection buffers.
+constexpr std::size_t exchange_overhead_bytes = 4096;
+// Connections that were told to close but are still open.
+constexpr unsigned closing_connections = 16;
+
 enum class exchange_state
 {
     receiving,
     pending,
     ready,
-    oversized,
+    sending,
+};
+
+struct exchange;
+
+/** A connection, from the accept until libmicrohttpd releases it. */
+struct server_connection
+{
+    std::uint64_t id = 0;
+    MHD_Connection* connection = nullptr;
+    int fd = -1;
+    exchange* current = nullptr;
+    std::uint64_t completed = 0;
+    /** Steady time of the accept or of the end of the last request. */
+    time_ms idle_since = 0;
+    /** The socket is shut down and waits to be released. */
+    bool dropped = false;
 };
 
 struct exchange
 {
     std::uint64_t id = 0;
+    server_connection* owner = nullptr;
+    /** The body that is being received, or the response that is being sent. */
+    intake::transfer transfer;
     exchange_state state = exchange_state::receiving;
     http_request request;
     http_response response;
@@ -58,6 +89,10 @@
     http_server_options options;
     http_server_callbacks callbacks;
     std::unordered_map<std::uint64_t, exchange*> pending;
+    std::unordered_map<std::uint64_t, std::unique_ptr<server_connection>> connections;
+    std::uint64_t last_connection = 0;
+    intake::gate_handle gate;
+    timer_id sweep_timer;
     /** Requests whose request line has arrived and whose response is not completely sent yet. */
     std::size_t exchanges = 0;
     bool closing = false;
@@ -77,9 +112,30 @@
     return *static_cast<http_server*>(context);
 }
 
-void* start_exchange(void* context, const char* uri, MHD_Connection*)
+int connection_fd(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+server_connection* connection_of(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info == nullptr ? nullptr : static_cast<server_connection*>(info->socket_context);
+}
+
+void* start_exchange(void* context, const char* uri, MHD_Connection* connection)
 {
     auto created = std::make_unique<exchange>();
+    created->owner = connection_of(connection);
+    created->transfer.started_at = steady_now();
+    created->transfer.progressed_at = created->transfer.started_at;
+    if (created->owner != nullptr)
+    {
+        created->owner->current = created.get();
+    }
     created->id = ++as_server(context).last_id;
     created->request.target = uri;
     ++as_server(context).exchanges;
@@ -105,6 +161,14 @@
     return bytes;
 }
 
+void hold_for(http_server& server, const exchange& current, std::size_t bytes)
+{
+    if (current.owner != nullptr)
+    {
+        intake::hold(server.gate, current.owner->id, bytes + exchange_overhead_bytes);
+    }
+}
+
 MHD_Result queue_response(http_server& server, exchange& current)
 {
     const http_response& response = current.response;
@@ -124,9 +188,42 @@
     const MHD_Result result = MHD_queue_response(
         current.connection, static_cast<unsigned>(response.status), mhd_response);
     MHD_destroy_response(mhd_response);
+    hold_for(server, current, response.body.size());
+    current.transfer = {
+        .started_at = steady_now(), .progressed_at = steady_now(), .bytes = response.body.size()};
+    current.state = exchange_state::sending;
+    // libmicrohttpd has its own copy.
+    current.response = {};
     return result;
 }
 
+/** Refuses a request before its body is read; libmicrohttpd then closes the connection. */
+MHD_Result refuse_request(http_server& server, exchange& current, int status, const char* reason,
+                          std::string message)
+{
+    intake::record_refusal(server.gate, reason);
+    current.response = error_response(status, {error_kind::invalid_argument, std::move(message),
+                                               "send fewer or smaller fields and bodies"});
+    return queue_response(server, current);
+}
+
+/** Refuses a request whose head shows that it exceeds a limit; returns nothing if it doesn't. */
+std::optional<MHD_Result> check_head(http_server& server, exchange& current)
+{
+    const std::size_t max_fields = server.options.intake.limits.max_fields;
+    if (server.gate.gate != nullptr && current.request.headers.size() > max_fields)
+    {
+        return refuse_request(server, current, 431, "fields", "the request has too many fields");
+    }
+    const auto declared = find_header(current.request.headers, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    if (declared && intake::is_oversized(*declared, server.options.max_body_bytes))
+    {
+        return refuse_request(server, current, 413, "body",
+                              "request body is larger than max_body_bytes");
+    }
+    return std::nullopt;
+}
+
 void dispatch_request(http_server& server, exchange& current)
 {
     current.state = exchange_state::pending;
@@ -137,40 +234,61 @@
     server.callbacks.on_request({current.id}, std::move(current.request));
 }
 
+/** Appends a piece of the body. Closes the connection if the body exceeds a limit. */
+MHD_Result receive_body(http_server& server, exchange& current, std::string_view piece)
+{
+    if (current.state != exchange_state::receiving)
+    {
+        return MHD_YES;
+    }
+    if (current.request.body.size() + piece.size() > server.options.max_body_bytes)
+    {
+        // libmicrohttpd accepts no response while it receives a body.
+        intake::record_refusal(server.gate, "body");
+        current.request.body = {};
+        return MHD_NO;
+    }
+    if (current.request.body.empty())
+    {
+        // Growing the body in steps would briefly hold it twice.
+        const auto declared = find_header(current.request.headers, MHD_HTTP_HEADER_CONTENT_LENGTH);
+        current.request.body.reserve(
+            static_cast<std::size_t>(declared ? parse_integer(*declared).value_or(0) : 0));
+    }
+    current.request.body.append(piece);
+    current.transfer.bytes += piece.size();
+    current.transfer.progressed_at = steady_now();
+    hold_for(server, current, current.request.body.size());
+    if (current.owner != nullptr)
+    {
+        intake::note_progress(server.gate, current.owner->id, current.transfer.progressed_at);
+    }
+    intake::enforce(server.gate);
+    return current.owner != nullptr && current.owner->dropped ? MHD_NO : MHD_YES;
+}
+
 MHD_Result handle_access(void* context, MHD_Connection* connection, const char*, const char* method,
                          const char*, const char* upload, std::size_t* upload_size,
                          void** exchange_slot)
 {
     http_server& server = as_server(context);
     exchange& current = *static_cast<exchange*>(*exchange_slot);
+    if (current.owner != nullptr && current.owner->dropped)
+    {
+        return MHD_NO;
+    }
     if (current.connection == nullptr)
     {
         current.connection = connection;
         current.request.method = method;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header,
                                   &current.request.headers);
-        return MHD_YES;
+        hold_for(server, current, 0);
+        return check_head(server, current).value_or(MHD_YES);
     }
     if (*upload_size > 0)
     {
-        if (current.request.body.size() + *upload_size > server.options.max_body_bytes)
-        {
-            current.state = exchange_state::oversized;
-            current.request.body.clear();
-        }
-        if (current.state != exchange_state::oversized)
-        {
-            current.request.body.append(upload, *upload_size);
-        }
-        *upload_size = 0;
-        return MHD_YES;
-    }
-    if (current.state == exchange_state::oversized)
-    {
-        current.response = error_response(413, {error_kind::invalid_argument,
-                                                "request body is larger than max_body_bytes",
-                                                "send a smaller body or raise max_body_bytes"});
-        return queue_response(server, current);
+        return receive_body(server, current, {upload, std::exchange(*upload_size, 0)});
     }
     if (current.state == exchange_state::receiving)
     {
@@ -196,6 +314,14 @@
         return;
     }
     --server.exchanges;
+    if (server_connection* owner = finished->owner)
+    {
+        owner->current = nullptr;
+        owner->idle_since = steady_now();
+        ++owner->completed;
+        intake::hold(server.gate, owner->id, 0);
+        intake::note_completed(server.gate, owner->id);
+    }
     const bool unanswered = server.pending.erase(finished->id) > 0;
     if (unanswered && !finished->cancelled && server.callbacks.on_cancelled)
     {
@@ -203,11 +329,156 @@
     }
 }
 
-int connection_fd(MHD_Connection* connection)
+/** Disconnects a client; libmicrohttpd releases the connection in its next iteration. */
+void drop_connection(http_server& server, std::uint64_t id)
+{
+    const auto found = server.connections.find(id);
+    if (found == server.connections.end() || found->second->dropped)
+    {
+        return;
+    }
+    server_connection& dropped = *found->second;
+    dropped.dropped = true;
+    ::shutdown(dropped.fd, SHUT_RDWR);
+    server.needs_run = true;
+    exchange* current = dropped.current;
+    if (current == nullptr)
+    {
+        return;
+    }
+    if (current->state == exchange_state::receiving)
+    {
+        current->request.body = {};
+        intake::hold(server.gate, id, 0);
+    }
+    else if (current->state == exchange_state::pending && !current->cancelled)
+    {
+        current->cancelled = true;
+        const std::uint64_t request = current->id;
+        if (server.callbacks.on_cancelled)
+        {
+            server.callbacks.on_cancelled({request});
+        }
+        // A suspended connection would never be released.
+        send_response(server, {request}, {.status = 503, .headers = {}, .body = {}});
+    }
+}
+
+/** Makes room if the server has as many connections as it may have. */
+void evict_connection(http_server& server, std::uint64_t newest)
+{
+    std::vector<intake::connection_state> states;
+    for (const auto& [id, connection] : server.connections)
+    {
+        if (!connection->dropped && id != newest)
+        {
+            const exchange* current = connection->current;
+            states.push_back(
+                {.connection = id,
+                 .busy = current != nullptr && current->state != exchange_state::receiving,
+                 .completed = connection->completed,
+                 .last_activity = current == nullptr ? connection->idle_since
+                                                     : current->transfer.progressed_at});
+        }
+    }
+    if (states.size() < server.options.intake.limits.max_connections)
+    {
+        return;
+    }
+    intake::record_refusal(server.gate, "connections");
+    drop_connection(server, intake::choose_to_evict(states).value_or(newest));
+}
+
+std::uint32_t peer_of(MHD_Connection* connection)
 {
     const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return info == nullptr ? -1 : info->connect_fd;
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == nullptr || info->client_addr->sa_family != AF_INET)
+    {
+        return 0;
+    }
+    return reinterpret_cast<const sockaddr_in*>(info->client_addr)->sin_addr.s_addr;
+}
+
+void handle_connection(void* context, MHD_Connection* connection, void** socket_context,
+                       MHD_ConnectionNotificationCode code)
+{
+    http_server& server = as_server(context);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+        if (const auto* closed = static_cast<server_connection*>(*socket_context))
+        {
+            intake::close_connection(server.gate, closed->id);
+            server.connections.erase(closed->id);
+        }
+        *socket_context = nullptr;
+        return;
+    }
+    auto created = std::make_unique<server_connection>();
+    created->id = ++server.last_connection;
+    created->connection = connection;
+    created->fd = connection_fd(connection);
+    created->idle_since = steady_now();
+    *socket_context = created.get();
+    const std::uint64_t id = created->id;
+    server.connections[id] = std::move(created);
+    intake::open_connection(server.gate, id, peer_of(connection));
+    if (server.gate.gate != nullptr)
+    {
+        evict_connection(server, id);
+    }
+}
+
+/** Reason to disconnect a client that is too slow; null if it isn't. */
+const char* slowness(const http_server& server, const server_connection& connection, time_ms now)
+{
+    const exchange* current = connection.current;
+    if (current == nullptr)
+    {
+        // Between requests libmicrohttpd doesn't tell an idle client from one that sends a head
+        // byte by byte.
+        const time_ms limit = connection.completed == 0
+                                  ? head_timeout_ms
+                                  : static_cast<time_ms>(server.options.idle_timeout_s) * 1000;
+        return now - connection.idle_since > limit ? "slow_head" : nullptr;
+    }
+    if (current->state == exchange_state::receiving)
+    {
+        if (current->connection == nullptr)
+        {
+            return now - current->transfer.started_at > head_timeout_ms ? "slow_head" : nullptr;
+        }
+        return intake::is_too_slow(current->transfer, server.options.intake.limits.pace, now)
+                   ? "slow_body"
+                   : nullptr;
+    }
+    // How much of a response was sent isn't known, so only its whole time is limited.
+    const intake::transfer sending{.started_at = current->transfer.started_at,
+                                   .progressed_at = now,
+                                   .bytes = current->transfer.bytes};
+    return current->state == exchange_state::sending &&
+                   intake::is_too_slow(sending, server.options.intake.limits.pace, now)
+               ? "slow_response"
+               : nullptr;
+}
+
+void drop_slow_connections(http_server& server)
+{
+    const time_ms now = steady_now();
+    std::vector<std::pair<std::uint64_t, const char*>> slow;
+    for (const auto& [id, connection] : server.connections)
+    {
+        const char* reason = connection->dropped ? nullptr : slowness(server, *connection, now);
+        if (reason != nullptr)
+        {
+            slow.emplace_back(id, reason);
+        }
+    }
+    for (const auto& [id, reason] : slow)
+    {
+        intake::record_refusal(server.gate, reason);
+        drop_connection(server, id);
+    }
 }
 
 void cancel_disconnected_requests(http_server& server)
@@ -291,6 +562,8 @@
 {
     unwatch_fd(*server->loop, server->epoll_fd);
     cancel_timer(*server->loop, server->cancel_timer);
+    cancel_timer(*server->loop, server->sweep_timer);
+    intake::unregister_listener(server->gate);
     remove_wait_limit(*server->loop, server->wait_limit);
     server->callbacks = {};
     for (auto& [id, current] : server->pending)
@@ -319,12 +592,17 @@
     server->loop = &loop;
     server->options = options;
     server->callbacks = std::move(callbacks);
+    const unsigned max_connections =
+        options.intake.gate == nullptr
+            ? options.max_connections
+            : static_cast<unsigned>(options.intake.limits.max_connections) + closing_connections;
     server->daemon = MHD_start_daemon(
         // A Date header would add 37 bytes to each response to a peer.
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_SUPPRESS_DATE_NO_CLOCK, options.port,
         nullptr, nullptr, &handle_access, server.get(), MHD_OPTION_SOCK_ADDR, &*address,
         MHD_OPTION_URI_LOG_CALLBACK, &start_exchange, server.get(), MHD_OPTION_NOTIFY_COMPLETED,
-        &finish_exchange, server.get(), MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
+        &finish_exchange, server.get(), MHD_OPTION_CONNECTION_LIMIT, max_connections,
+        MHD_OPTION_NOTIFY_CONNECTION, &handle_connection, server.get(),
         MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, MHD_OPTION_END);
     if (server->daemon == nullptr)
     {
@@ -339,6 +617,13 @@
     watch_fd(
         loop, raw->epoll_fd, {.read = true, .write = false},
         [raw](io_interest) { run_pending_steps(*raw); }, options.priority);
+    raw->gate = intake::register_listener(options.intake,
+                                          [raw](std::uint64_t id) { drop_connection(*raw, id); });
+    if (raw->gate.gate != nullptr)
+    {
+        raw->sweep_timer =
+            run_every(loop, sweep_interval_ms, [raw] { drop_slow_connections(*raw); });
+    }
     raw->wait_limit = add_wait_limit(loop, [raw] { return server_wait_limit(*raw); });
     if (raw->callbacks.on_cancelled)
     {
--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -266,7 +266,7 @@
          .method = call.request.method,
          .target = call.request.target,
          .headers = std::move(headers),
-         .body = call.request.body,
+         .shared_body = call.body,
          .timeout = time_left + response_margin_ms,
          .connect_timeout = std::min(
              time_left, timeout_with_lag(self.lag, upstream_connect_timeout_ms, call.started_at)),
@@ -347,17 +347,19 @@
     return least;
 }
 
-std::uint64_t run_inbound(node& self, http_request request, hop_terms terms, inbound_callback done)
+std::uint64_t run_inbound(node& self, http_request request, std::shared_ptr<const std::string> body,
+                          hop_terms terms, inbound_callback done)
 {
     auto created = std::make_unique<inbound_call>();
     inbound_call& call = *created;
     call.id = ++self.sidecar_state->last_inbound_id;
     call.request = std::move(request);
+    call.body = std::move(body);
     call.terms = std::move(terms);
     call.done = std::move(done);
     call.arrived_at = steady_now();
     call.fingerprint =
-        request_fingerprint(call.request.method, path_of(call.request.target), call.request.body);
+        request_fingerprint(call.request.method, path_of(call.request.target), *call.body);
     const std::uint64_t id = call.id;
     if (const auto refusal = inbound_refusal(self, call.terms))
     {
@@ -437,8 +439,9 @@
         return;
     }
     deduct_unread_time(self, request, *terms);
+    auto body = std::make_shared<const std::string>(std::exchange(request.body, {}));
     const std::uint64_t inbound =
-        run_inbound(self, std::move(request), std::move(*terms),
+        run_inbound(self, std::move(request), std::move(body), std::move(*terms),
                     [&self, id](inbound_result result)
                     {
                         self.sidecar_state->inbound_by_request.erase(id.value);
--- a/src/inbound.hpp
+++ b/src/inbound.hpp
@@ -25,7 +25,9 @@
 struct inbound_call
 {
     std::uint64_t id = 0;
+    /** Without its body. */
     http_request request;
+    std::shared_ptr<const std::string> body;
     hop_terms terms;
     inbound_callback done;
     time_ms arrived_at = 0;
@@ -37,7 +39,8 @@
 
 /** Runs, queues or refuses a call for the upstream of this VM. Returns the call's id. The callback
  * may run before this function returns. */
-std::uint64_t run_inbound(node& self, http_request request, hop_terms terms, inbound_callback done);
+std::uint64_t run_inbound(node& self, http_request request, std::shared_ptr<const std::string> body,
+                          hop_terms terms, inbound_callback done);
 
 /** Aborts a call without running its callback. */
 void cancel_inbound(node& self, std::uint64_t id);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -174,6 +174,8 @@
 
     settings config;
     event_loop* loop = nullptr;
+    /** Limits that all listeners share; outlives them. */
+    std::unique_ptr<intake::gate> intake;
     http_client_ptr data_client;
     http_client_ptr control_client;
     http_server_ptr data_server;
@@ -242,6 +244,9 @@
 /** Options of a connection pool. A daemon has two, and each may use a quarter of its memory. */
 connection_pool_options pool_options(const settings& config);
 
+/** Limits of a listener that is opened for the daemon. */
+intake::gate_options intake_options(const node& self, intake::listener_role role, std::string name);
+
 /** Total bytes sent and received on control connections. */
 std::uint64_t control_bytes(const node& self);
 
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -421,7 +421,7 @@
     if (view.member == self.config.id)
     {
         const std::uint64_t inbound =
-            run_inbound(self, call.request, std::move(terms),
+            run_inbound(self, call.request, call.body, std::move(terms),
                         [&self, id](inbound_result result)
                         { finish_offer(self, id, std::move(result), true); });
         // The callback may have run already and offered the call to another instance.
@@ -442,7 +442,7 @@
          .method = std::move(request.method),
          .target = std::move(request.target),
          .headers = std::move(request.headers),
-         .body = std::move(request.body),
+         .shared_body = call.body,
          .timeout = left,
          .connect_timeout =
              std::min(left, timeout_with_lag(self.lag, peer_connect_timeout_ms, steady_now())),
@@ -661,6 +661,7 @@
     call.request = std::move(request);
     call.fingerprint =
         request_fingerprint(call.request.method, path_of(call.request.target), call.request.body);
+    call.body = std::make_shared<const std::string>(std::exchange(call.request.body, {}));
     self.sidecar_state->outbound[id.value] = std::move(created);
     observe(self.stats, "outbound_unread_seconds",
             static_cast<double>(call.read_us - call.arrived_us) * seconds_per_us);
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -17,7 +17,10 @@
 struct outbound_call
 {
     request_id id;
+    /** Without its body. */
     http_request request;
+    /** Shared by all attempts. */
+    std::shared_ptr<const std::string> body;
     caller_metadata caller;
     std::string route;
     std::string service;
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -13,6 +13,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 #include <cstring>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -53,6 +55,20 @@
 // concurrently, each small response would wait behind a send window of each large one.
 constexpr std::size_t large_output_bytes = 16U << 10U;
 
+// Requests of a connection are not started while its unsent responses are larger than this.
+constexpr std::size_t max_unsent_bytes = 256U << 10U;
+// Requests of one connection that are started before other descriptors are served.
+constexpr int max_requests_per_turn = 16;
+// Sent output is discarded in pieces of this size.
+constexpr std::size_t discard_bytes = 256U << 10U;
+// A connection that is being released is read for this multiple of linger_ms at most.
+constexpr int linger_factor = 5;
+// Bookkeeping of a request and of a response in addition to their text.
+constexpr std::size_t exchange_overhead_bytes = 1024;
+// Parsed fields take up about this multiple of their text.
+constexpr std::size_t field_factor = 4;
+constexpr time_ms log_interval_ms = 1000;
+
 /** A request of a connection and its response. */
 struct pipelined_exchange
 {
@@ -61,6 +77,8 @@
     /** The connection must be closed after the response. */
     bool close_after_response = false;
     std::optional<http_response> response;
+    /** Accounted for the request, and later for its response. */
+    std::size_t held_bytes = 0;
 };
 
 struct caller_connection
@@ -69,9 +87,24 @@
     int fd = -1;
     std::string input;
     std::optional<request_parser> parser;
+    /** Bytes of the head of the request that is being received. */
+    std::size_t head_bytes = 0;
+    /** Line ends in the part of the input that was examined for the end of the head. */
+    std::size_t examined = 0;
+    std::size_t head_lines = 0;
+    /** The body that is being received. */
+    intake::transfer body;
     std::deque<pipelined_exchange> exchanges;
+    /** Sum over the exchanges. */
+    std::size_t exchange_bytes = 0;
+    std::uint64_t completed = 0;
+    /** The output that the caller has not read yet. */
+    intake::transfer unsent;
+    time_ms linger_started = 0;
     std::string output;
     std::size_t sent = 0;
+    /** Parsing goes on in the next iteration of the event loop. */
+    bool parse_scheduled = false;
     /** Turn requested for a large output. */
     std::optional<std::uint64_t> turn;
     /** End of the output that may be sent before the turn starts. */
@@ -106,6 +139,10 @@
     std::uint64_t last_connection = 0;
     bool closing = false;
     timer_id sweep_timer;
+    intake::gate_handle gate;
+    /** Rejections since the last log line about them, and its time. */
+    std::uint64_t rejections = 0;
+    time_ms rejections_logged_at = 0;
 };
 
 namespace
@@ -113,6 +150,7 @@
 
 void update_watch(pipelined_server& server, caller_connection& connection);
 void flush_connection(pipelined_server& server, std::uint64_t id);
+void resume_parsing(pipelined_server& server, std::uint64_t id);
 
 caller_connection* find_connection(pipelined_server& server, std::uint64_t id)
 {
@@ -139,6 +177,7 @@
     caller_connection& connection = *entry.mapped();
     unwatch_fd(*server.loop, connection.fd);
     ::close(connection.fd);
+    intake::close_connection(server.gate, id);
     end_output_turn(server, connection);
     for (const pipelined_exchange& exchange : connection.exchanges)
     {
@@ -176,6 +215,38 @@
     }
 }
 
+/** Accounts what is held for the connection. */
+void account(pipelined_server& server, const caller_connection& connection)
+{
+    const std::size_t parsed = connection.parser ? connection.parser->get().body().size() : 0;
+    intake::hold(server.gate, connection.id,
+                 connection.input.capacity() + parsed + connection.head_bytes * field_factor +
+                     connection.exchange_bytes + connection.output.capacity());
+}
+
+void set_held_bytes(caller_connection& connection, pipelined_exchange& exchange, std::size_t bytes)
+{
+    connection.exchange_bytes = connection.exchange_bytes - exchange.held_bytes + bytes;
+    exchange.held_bytes = bytes;
+}
+
+std::size_t text_bytes(const http_response& response)
+{
+    std::size_t bytes = exchange_overhead_bytes + response.body.capacity();
+    for (const http_header& header : response.headers)
+    {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
+/** Whether the connection may have another request before its callers read more responses. */
+bool may_start_request(const pipelined_server& server, const caller_connection& connection)
+{
+    return connection.exchanges.size() < server.options.max_pipelined &&
+           connection.output.size() - connection.sent <= max_unsent_bytes;
+}
+
 /** Appends the responses that are next in order to the output. */
 void collect_responses(pipelined_server& server, caller_connection& connection)
 {
@@ -189,6 +260,9 @@
             last && (exchange.close_after_response || connection.draining || server.closing);
         append_response(connection.output, exchange, close);
         connection.draining = connection.draining || close;
+        set_held_bytes(connection, exchange, 0);
+        ++connection.completed;
+        intake::note_completed(server.gate, connection.id);
         connection.exchanges.pop_front();
     }
 }
@@ -243,6 +317,9 @@
         }
         connection.sent += static_cast<std::size_t>(result);
         connection.last_activity = steady_now();
+        connection.unsent.bytes += static_cast<std::size_t>(result);
+        connection.unsent.progressed_at = connection.last_activity;
+        intake::note_progress(server.gate, connection.id, connection.last_activity);
         if (connection.turn)
         {
             record_progress(server.options.turns->table, *connection.turn,
@@ -253,12 +330,23 @@
     {
         return send_state::awaiting_turn;
     }
-    connection.output.clear();
+    // An emptied string would keep the memory of the largest response.
+    connection.output = {};
     connection.sent = 0;
     end_output_turn(server, connection);
     return send_state::done;
 }
 
+/** Releases output that was sent, unless its position counts for a turn. */
+void discard_sent(caller_connection& connection)
+{
+    if (!connection.turn && connection.sent >= discard_bytes)
+    {
+        connection.output.erase(0, connection.sent);
+        connection.sent = 0;
+    }
+}
+
 /** Sends as much output as possible. May destroy the connection. */
 void flush_connection(pipelined_server& server, std::uint64_t id)
 {
@@ -267,7 +355,12 @@
     {
         return;
     }
+    const bool had_output = !connection->output.empty();
     collect_responses(server, *connection);
+    if (!had_output)
+    {
+        connection->unsent = {.started_at = steady_now(), .progressed_at = steady_now()};
+    }
     const send_state state = send_output(server, *connection);
     if (state == send_state::failed)
     {
@@ -280,22 +373,40 @@
         ::shutdown(connection->fd, SHUT_WR);
         connection->lingering = true;
         connection->last_activity = steady_now();
+        connection->linger_started = connection->last_activity;
     }
+    discard_sent(*connection);
+    account(server, *connection);
     update_watch(server, *connection);
+    // Requests may have waited until responses were sent.
+    if (!connection->parse_scheduled && !connection->input.empty() && !connection->parser &&
+        !connection->draining && may_start_request(server, *connection))
+    {
+        connection->parse_scheduled = true;
+        run_after(*server.loop, 0, [&server, id] { resume_parsing(server, id); });
+    }
 }
 
 /** Answers an invalid or incomplete request with an error and stops reading requests. */
 void reject(pipelined_server& server, caller_connection& connection, int status,
             std::string message, std::string remedy)
 {
-    log_event(log_level::warning, "caller_rejected", {{"status", status}, {"reason", message}});
+    ++server.rejections;
+    if (steady_now() - server.rejections_logged_at >= log_interval_ms)
+    {
+        log_event(log_level::warning, "caller_rejected",
+                  {{"status", status}, {"reason", message}, {"callers", server.rejections}});
+        server.rejections = 0;
+        server.rejections_logged_at = steady_now();
+    }
     pipelined_exchange exchange{.id = ++server.last_id, .close_after_response = true};
     exchange.response = error_response(
         status, {error_kind::invalid_argument, std::move(message), std::move(remedy)});
     connection.exchanges.push_back(std::move(exchange));
     connection.draining = true;
-    connection.input.clear();
+    connection.input = {};
     connection.parser.reset();
+    connection.head_bytes = 0;
 }
 
 void reject_unreadable(pipelined_server& server, caller_connection& connection,
@@ -303,12 +414,14 @@
 {
     if (problem == beast_http::error::header_limit)
     {
+        intake::record_refusal(server.gate, "head");
         reject(server, connection, 431, "the request's header is larger than the limit",
                "send fewer or shorter headers");
         return;
     }
     if (problem == beast_http::error::body_limit)
     {
+        intake::record_refusal(server.gate, "body");
         reject(server, connection, 413, "the request's body is larger than the limit",
                "send a smaller body");
         return;
@@ -336,6 +449,65 @@
         static_cast<std::uint32_t>(server.options.limits.max_header_bytes));
     connection.parser->body_limit(server.options.limits.max_body_bytes);
     connection.request_started = steady_now();
+    connection.head_bytes = 0;
+    connection.examined = 0;
+    connection.head_lines = 0;
+    connection.body = {};
+}
+
+/**
+ * Counts the lines of a head that has not been parsed yet. Parsing it first would take up many
+ * times its size.
+ */
+bool has_too_many_fields(const pipelined_server& server, caller_connection& connection)
+{
+    if (server.gate.gate == nullptr || connection.parser->is_header_done())
+    {
+        return false;
+    }
+    constexpr std::string_view head_end = "\r\n\r\n";
+    const std::string_view input = connection.input;
+    // The end of the head may have begun in the examined part.
+    const std::size_t search_start =
+        connection.examined - std::min(connection.examined, head_end.size() - 1);
+    const std::size_t end = std::min(input.find(head_end, search_start), input.size());
+    const std::size_t first = std::min(connection.examined, end);
+    connection.head_lines += static_cast<std::size_t>(
+        std::count(input.begin() + static_cast<std::ptrdiff_t>(first),
+                   input.begin() + static_cast<std::ptrdiff_t>(end), '\n'));
+    connection.examined = end;
+    return connection.head_lines > server.options.intake.limits.max_fields;
+}
+
+/** Records the progress of the request that is being received. */
+void record_received(pipelined_server& server, caller_connection& connection, bool had_head,
+                     std::size_t bytes)
+{
+    if (!had_head)
+    {
+        connection.examined -= std::min(connection.examined, bytes);
+        connection.head_bytes += bytes;
+    }
+    if (!connection.parser->is_header_done())
+    {
+        return;
+    }
+    const time_ms now = steady_now();
+    if (!had_head)
+    {
+        connection.head_bytes =
+            std::min(connection.head_bytes, server.options.limits.max_header_bytes);
+        connection.body.started_at = now;
+    }
+    connection.body.bytes += bytes;
+    connection.body.progressed_at = now;
+    intake::note_progress(server.gate, connection.id, now);
+}
+
+/** Whether the input that the parser can't use yet is larger than any head or chunk header. */
+bool has_unusable_input(const pipelined_server& server, const caller_connection& connection)
+{
+    return connection.input.size() > server.options.limits.max_header_bytes + read_buffer_bytes;
 }
 
 /** Sends 100 Continue to a caller that expects it before it sends the body. */
@@ -359,6 +531,10 @@
     const std::uint64_t id = ++server.last_id;
     connection.exchanges.push_back(
         {.id = id, .is_head = request.method == "HEAD", .close_after_response = !keep_alive});
+    set_held_bytes(connection, connection.exchanges.back(),
+                   exchange_overhead_bytes + connection.head_bytes * field_factor +
+                       request.body.capacity());
+    connection.head_bytes = 0;
     if (!keep_alive)
     {
         connection.draining = true;
@@ -372,17 +548,28 @@
 void parse_input(pipelined_server& server, std::uint64_t id)
 {
     caller_connection* connection = find_connection(server, id);
+    int started = 0;
     while (connection != nullptr && !connection->draining && !connection->input.empty() &&
-           connection->exchanges.size() < server.options.max_pipelined)
+           started < max_requests_per_turn &&
+           (connection->parser || may_start_request(server, *connection)))
     {
         if (!connection->parser)
         {
             start_parser(server, *connection);
         }
+        if (has_too_many_fields(server, *connection))
+        {
+            intake::record_refusal(server.gate, "fields");
+            reject(server, *connection, 431, "the request has too many header fields",
+                   "send fewer headers");
+            break;
+        }
         boost::system::error_code problem;
+        const bool had_head = connection->parser->is_header_done();
         const std::size_t used =
             connection->parser->put(boost::asio::buffer(connection->input), problem);
         connection->input.erase(0, used);
+        record_received(server, *connection, had_head, used);
         if (problem && problem != beast_http::error::need_more)
         {
             reject_unreadable(server, *connection, problem);
@@ -390,16 +577,33 @@
         }
         if (!connection->parser->is_done())
         {
+            if (has_unusable_input(server, *connection))
+            {
+                intake::record_refusal(server.gate, "head");
+                reject(server, *connection, 400, "a part of the request is larger than the limit",
+                       "send HTTP/1.1");
+                break;
+            }
             continue_body(*connection);
             // The parser needs more input.
             break;
         }
         dispatch(server, *connection);
+        ++started;
         connection = find_connection(server, id);
     }
     flush_connection(server, id);
 }
 
+void resume_parsing(pipelined_server& server, std::uint64_t id)
+{
+    if (caller_connection* connection = find_connection(server, id))
+    {
+        connection->parse_scheduled = false;
+        parse_input(server, id);
+    }
+}
+
 enum class read_state
 {
     data,
@@ -445,6 +649,12 @@
     return ::recv(connection.fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool has_failed(const caller_connection& connection)
+{
+    pollfd polled{.fd = connection.fd, .events = 0, .revents = 0};
+    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 void handle_event(pipelined_server& server, std::uint64_t id, io_interest ready)
 {
     caller_connection* connection = find_connection(server, id);
@@ -463,27 +673,60 @@
             drop_connection(server, id);
             return;
         }
-        if (state == read_state::data && !connection->draining)
+        // Scheduled parsing uses the new input too.
+        if (state == read_state::data && !connection->draining && !connection->parse_scheduled)
         {
             parse_input(server, id);
             return;
         }
     }
+    // An unwatched connection reports only failures.
+    if (!ready.read && connection->output.empty() && has_failed(*connection))
+    {
+        drop_connection(server, id);
+        return;
+    }
     flush_connection(server, id);
 }
 
 void update_watch(pipelined_server& server, caller_connection& connection)
 {
     // A connection with a full pipeline is still read, so that a disconnect is detected. Reading
-    // pauses while the buffered input exceeds max_body_bytes.
-    const bool input_full = connection.input.size() > server.options.limits.max_body_bytes;
+    // pauses when the next head has arrived, as its body would be held without being used.
+    const bool input_full = !connection.draining && has_unusable_input(server, connection);
     const bool wants_write = !connection.output.empty() && !is_awaiting_turn(server, connection);
     const io_interest interest{.read = !input_full, .write = wants_write};
     watch_fd(*server.loop, connection.fd, interest,
-             [&server, id = connection.id](io_interest ready) { handle_event(server, id, ready); });
+             [&server, id = connection.id](io_interest ready)
+             {
+                 handle_event(server, id, ready);
+                 intake::enforce(server.gate);
+             });
+}
+
+/**
+ * Closes a connection that holds much. A caller whose request is incomplete gets a response, since
+ * nothing of it ran; otherwise requests may be running.
+ */
+void shed_connection(pipelined_server& server, std::uint64_t id)
+{
+    caller_connection* connection = find_connection(server, id);
+    if (connection == nullptr)
+    {
+        return;
+    }
+    if (!connection->parser || !connection->exchanges.empty() || !connection->output.empty() ||
+        connection->draining)
+    {
+        drop_connection(server, id);
+        return;
+    }
+    reject(server, *connection, 503, "the daemon holds too much for its callers",
+           "send the request again later");
+    flush_connection(server, id);
 }
 
-void accept_connection(pipelined_server& server, int fd)
+void accept_connection(pipelined_server& server, int fd, std::uint32_t peer)
 {
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -495,15 +738,46 @@
     created->last_activity = steady_now();
     caller_connection& connection = *created;
     server.connections[connection.id] = std::move(created);
+    intake::open_connection(server.gate, connection.id, peer);
     update_watch(server, connection);
 }
 
+std::size_t max_connections(const pipelined_server& server)
+{
+    return server.gate.gate == nullptr ? server.options.max_connections
+                                       : server.options.intake.limits.max_connections;
+}
+
+/** Closes a connection for a new one. Returns false if all are in use. */
+bool evict_connection(pipelined_server& server)
+{
+    std::vector<intake::connection_state> states;
+    for (const auto& [id, connection] : server.connections)
+    {
+        states.push_back({.connection = id,
+                          .busy = !connection->exchanges.empty() || !connection->output.empty(),
+                          .completed = connection->completed,
+                          .last_activity = connection->last_activity});
+    }
+    const auto evicted = intake::choose_to_evict(states);
+    intake::record_refusal(server.gate, "connections");
+    if (!evicted)
+    {
+        return false;
+    }
+    drop_connection(server, *evicted);
+    return true;
+}
+
 /** Accepts waiting connections, up to the limit. Returns false if none is left. */
 bool accept_pending(pipelined_server& server, int limit)
 {
     for (int i = 0; i < limit; ++i)
     {
-        const int fd = ::accept4(server.listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        sockaddr_in peer{};
+        socklen_t peer_size = sizeof(peer);
+        const int fd = ::accept4(server.listener, reinterpret_cast<sockaddr*>(&peer), &peer_size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
         {
             // A caller that has given up its connection leaves the ones behind it waiting.
@@ -513,14 +787,18 @@
             }
             return false;
         }
-        if (server.connections.size() >= server.options.max_connections)
+        if (server.connections.size() >= max_connections(server) &&
+            (server.gate.gate == nullptr || !evict_connection(server)))
         {
-            log_event(log_level::warning, "caller_rejected",
-                      {{"reason", "too many connections are open"}});
+            if (server.gate.gate == nullptr)
+            {
+                log_event(log_level::warning, "caller_rejected",
+                          {{"reason", "too many connections are open"}});
+            }
             ::close(fd);
             continue;
         }
-        accept_connection(server, fd);
+        accept_connection(server, fd, peer.sin_addr.s_addr);
     }
     return true;
 }
@@ -540,7 +818,8 @@
 {
     if (connection.lingering)
     {
-        return now - connection.last_activity > linger_ms;
+        return now - connection.last_activity > linger_ms ||
+               now - connection.linger_started > linger_factor * linger_ms;
     }
     return connection.exchanges.empty() && connection.output.empty() && !connection.parser &&
            now - connection.last_activity > server.options.limits.idle_timeout + idle_grace_ms;
@@ -554,9 +833,27 @@
         return false;
     }
     const time_ms header = server.options.limits.header_timeout;
-    const time_ms limit =
-        connection.parser->is_header_done() ? header * body_timeout_factor : header;
-    return now - connection.request_started > limit;
+    if (!connection.parser->is_header_done())
+    {
+        return now - connection.request_started > header;
+    }
+    intake::pace_limits pace = server.options.intake.limits.pace;
+    if (server.gate.gate == nullptr)
+    {
+        pace.max_stall = header * body_timeout_factor;
+    }
+    pace.grace =
+        std::max(header * body_timeout_factor, server.gate.gate == nullptr ? 0 : pace.grace);
+    return intake::is_too_slow(connection.body, pace, now);
+}
+
+/** Whether the caller reads its responses too slowly. */
+bool is_send_timed_out(const pipelined_server& server, const caller_connection& connection,
+                       time_ms now)
+{
+    return server.gate.gate != nullptr && !connection.output.empty() &&
+           !is_awaiting_turn(server, connection) &&
+           intake::is_too_slow(connection.unsent, server.options.intake.limits.pace, now);
 }
 
 void sweep(pipelined_server& server)
@@ -564,17 +861,27 @@
     const time_ms now = steady_now();
     std::vector<std::uint64_t> idle_expired;
     std::vector<std::uint64_t> timed_out;
+    std::vector<std::uint64_t> unread;
     for (const auto& [id, connection] : server.connections)
     {
         if (is_idle_expired(server, *connection, now))
         {
             idle_expired.push_back(id);
         }
+        else if (is_send_timed_out(server, *connection, now))
+        {
+            unread.push_back(id);
+        }
         else if (is_receive_timed_out(server, *connection, now))
         {
             timed_out.push_back(id);
         }
     }
+    for (const std::uint64_t id : unread)
+    {
+        intake::record_refusal(server.gate, "slow_response");
+        drop_connection(server, id);
+    }
     for (const std::uint64_t id : idle_expired)
     {
         drop_connection(server, id);
@@ -583,6 +890,10 @@
     {
         if (caller_connection* connection = find_connection(server, id))
         {
+            intake::record_refusal(server.gate,
+                                   connection->parser && connection->parser->is_header_done()
+                                       ? "slow_body"
+                                       : "slow_head");
             reject(server, *connection, 408, "the request was not complete in time",
                    "send requests without pauses");
             flush_connection(server, id);
@@ -630,6 +941,7 @@
 {
     server->callbacks = {};
     cancel_timer(*server->loop, server->sweep_timer);
+    intake::unregister_listener(server->gate);
     while (!server->connections.empty())
     {
         drop_connection(*server, server->connections.begin()->first);
@@ -657,6 +969,8 @@
     server->listener = listener;
     server->port = local_port(listener);
     pipelined_server* raw = server.get();
+    raw->gate = intake::register_listener(options.intake,
+                                          [raw](std::uint64_t id) { shed_connection(*raw, id); });
     watch_fd(loop, listener, {.read = true, .write = false},
              [raw](io_interest) { accept_pending(*raw, max_accepts_per_event); });
     raw->sweep_timer = run_every(loop, sweep_interval_ms, [raw] { sweep(*raw); });
@@ -686,15 +1000,10 @@
     const auto exchange = std::find_if(connection.exchanges.begin(), connection.exchanges.end(),
                                        [id](const pipelined_exchange& candidate)
                                        { return candidate.id == id.value; });
+    set_held_bytes(connection, *exchange, text_bytes(response));
     exchange->response = std::move(response);
     flush_connection(server, connection_id);
-    // Parses the requests that waited while the pipeline was full.
-    if (caller_connection* remaining = find_connection(server, connection_id);
-        remaining != nullptr && !remaining->input.empty() && !remaining->parser)
-    {
-        run_after(*server.loop, 0,
-                  [&server, connection_id] { parse_input(server, connection_id); });
-    }
+    intake::enforce_later(server.gate);
 }
 
 bool stop_accepting(pipelined_server& server)
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -82,6 +82,15 @@
     };
 }
 
+template <typename Value>
+auto intake_member(Value intake_settings::*member)
+{
+    return [member](settings& target) -> Value&
+    {
+        return target.intake.*member;
+    };
+}
+
 /** The owner is a pointer to member or a function that returns a reference to the value. */
 template <typename Owner>
 setter integer_setter(Owner owner, std::int64_t low, std::int64_t high)
@@ -353,6 +362,36 @@
           "retries that all daemons together may add to the ratio in a window"},
          false,
          integer_setter(sidecar_member(&sidecar_settings::retry_extra), 0, max_retry_extra)},
+        {{"intake", "memory_percent", "%", "25",
+          "part of memory_mb that clients may make the process hold; at least one body of the "
+          "largest size fits"},
+         false,
+         integer_setter(intake_member(&intake_settings::memory_percent), 5, 75)},
+        {{"intake", "max_descriptors", "", "4096",
+          "descriptors of the VM, which the listeners share; the process's own limit applies too"},
+         false,
+         integer_setter(intake_member(&intake_settings::max_descriptors), 128, 1 << 20)},
+        {{"intake", "max_fields", "", "1024", "header fields of a request"},
+         false,
+         integer_setter(intake_member(&intake_settings::max_fields), 32, 65536)},
+        {{"intake", "control_body_kb", "KB", "16384", "body of a request to the control port"},
+         false,
+         integer_setter(intake_member(&intake_settings::control_body_kb), 256, 1 << 20)},
+        {{"intake", "platform_body_kb", "KB", "64", "body of an announcement or a readiness check"},
+         false,
+         integer_setter(intake_member(&intake_settings::platform_body_kb), 1, 65536)},
+        {{"intake", "slow_grace", "time", "30s",
+          "time that the transfer of any body or response may take"},
+         false,
+         duration_setter(intake_member(&intake_settings::slow_grace), 1000, hour_ms)},
+        {{"intake", "min_bytes_per_s", "B/s", "4096",
+          "mean rate at which a body or response may take longer than slow_grace"},
+         false,
+         integer_setter(intake_member(&intake_settings::min_bytes_per_s), 1, 1 << 30)},
+        {{"intake", "stall_timeout", "time", "15s",
+          "longest pause in the transfer of a body or response"},
+         false,
+         duration_setter(intake_member(&intake_settings::stall_timeout), 1000, hour_ms)},
     };
     return all;
 }
@@ -413,7 +452,7 @@
     if (keys.empty())
     {
         fail(context, "section [" + section + "] is unknown",
-             "use one of: [daemon], [log], [peers], [upstream], [calls], [sidecar]");
+             "use one of: [daemon], [log], [peers], [upstream], [calls], [sidecar], [intake]");
         return;
     }
     fail(context, name + " is unknown", "remove it or use one of: " + keys);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -23,11 +23,18 @@
 constexpr time_ms stall_probe_interval_ms = 400;
 // Two announcements may be lost or late before an upstream that sends no responses is marked down.
 constexpr double lease_intervals = 2.5;
-// Peers forward requests that were within the callers' limits, with headers added.
-constexpr caller_limits peer_limits{.max_header_bytes = 256U << 10U,
-                                    .max_body_bytes = 256U << 20U,
-                                    .header_timeout = 10'000,
-                                    .idle_timeout = 60'000};
+// Peers may have a configuration with other limits than the one in force here.
+constexpr std::size_t min_peer_header_bytes = 64U << 10U;
+constexpr std::size_t min_peer_body_bytes = 64U << 20U;
+
+/** Peers forward requests that were within the callers' limits, with headers added. */
+caller_limits peer_limits(const caller_limits& of_callers)
+{
+    return {.max_header_bytes = std::max(2 * of_callers.max_header_bytes, min_peer_header_bytes),
+            .max_body_bytes = std::max(of_callers.max_body_bytes, min_peer_body_bytes),
+            .header_timeout = 10'000,
+            .idle_timeout = 60'000};
+}
 
 time_ms lease_time(const node& self)
 {
@@ -164,7 +171,10 @@
                                         .extra = self.config.sidecar.retry_extra};
     self.sidecar_state->peer_pool = open_connection_pool(*self.loop, pool_options(self.config));
     self.sidecar_state->outbound_server = open_pipelined_server(
-        *self.loop, {.address = *self.config.sidecar.outbound, .turns = &self.sidecar_state->turns},
+        *self.loop,
+        {.address = *self.config.sidecar.outbound,
+         .turns = &self.sidecar_state->turns,
+         .intake = intake_options(self, intake::listener_role::calls, "outbound")},
         {.on_request = [&self](request_id id, http_request request)
          { handle_outbound_request(self, id, std::move(request)); },
          .on_cancelled =
@@ -177,19 +187,20 @@
     {
         return false;
     }
-    self.sidecar_state->inbound_server =
-        open_pipelined_server(*self.loop,
-                              {.address = {self.config.address, self.config.data_port},
-                               .limits = peer_limits,
-                               .turns = &self.sidecar_state->turns},
-                              {.on_request = [&self](request_id id, http_request request)
-                               { handle_inbound_request(self, id, std::move(request)); },
-                               .on_cancelled =
-                                   [&self](request_id id)
-                               {
-                                   handle_inbound_cancelled(self, id);
-                               }},
-                              reason);
+    self.sidecar_state->inbound_server = open_pipelined_server(
+        *self.loop,
+        {.address = {self.config.address, self.config.data_port},
+         .limits = peer_limits(self.config_replica.state.limits),
+         .turns = &self.sidecar_state->turns,
+         .intake = intake_options(self, intake::listener_role::calls, "data")},
+        {.on_request = [&self](request_id id, http_request request)
+         { handle_inbound_request(self, id, std::move(request)); },
+         .on_cancelled =
+             [&self](request_id id)
+         {
+             handle_inbound_cancelled(self, id);
+         }},
+        reason);
     if (!self.sidecar_state->inbound_server)
     {
         return false;
@@ -215,7 +226,10 @@
     self.sidecar_state->routes = make_route_table(self.config_replica.state);
     self.sidecar_state->keys = make_key_directory(self.config_replica.state);
     remove_unsplit_routes(self.sidecar_state->splits, self.config_replica.state);
-    set_limits(*self.sidecar_state->outbound_server, self.config_replica.state.limits);
+    const caller_limits& limits = self.config_replica.state.limits;
+    set_limits(*self.sidecar_state->outbound_server, limits);
+    set_limits(*self.sidecar_state->inbound_server, peer_limits(limits));
+    intake::set_budget(*self.intake, intake::budget_bytes(self.config, limits.max_body_bytes));
 }
 
 std::optional<upstream_record> served_upstream_record(const node& self)
