--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -580,7 +580,7 @@
     if (attempt.member == self.config.id)
     {
         const std::uint64_t inbound =
-            run_inbound(self, call.request, std::move(terms),
+            run_inbound(self, call.request, call.body, std::move(terms),
                         [&self, id, instance = attempt.instance](inbound_result result)
                         { finish_offer(self, id, instance, std::move(result), true); });
         // The callback may have run already, ended the attempt and started another one.
@@ -600,7 +600,7 @@
          .method = std::move(request.method),
          .target = std::move(request.target),
          .headers = std::move(request.headers),
-         .body = std::move(request.body),
+         .shared_body = call.body,
          .timeout = left,
          .connect_timeout =
              std::min(left, timeout_with_lag(self.lag, peer_connect_timeout_ms, steady_now())),
@@ -923,6 +923,7 @@
     call.request = std::move(request);
     call.fingerprint =
         request_fingerprint(call.request.method, path_of(call.request.target), call.request.body);
+    call.body = std::make_shared<const std::string>(std::exchange(call.request.body, {}));
     self.sidecar_state->outbound[id.value] = std::move(created);
     observe(self.stats, "outbound_unread_seconds",
             static_cast<double>(call.read_us - call.arrived_us) * seconds_per_us);
--- a/src/outbound.hpp
+++ b/src/outbound.hpp
@@ -42,7 +42,10 @@
 struct outbound_call : call_attempt
 {
     request_id id;
+    /** Without its body. */
     http_request request;
+    /** Shared by all attempts. */
+    std::shared_ptr<const std::string> body;
     caller_metadata caller;
     std::string route;
     std::string service;
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -135,6 +135,10 @@
     std::map<std::string, double> cold_rates;
     /** Locality of daemons added later. */
     std::string locality = "zone-a";
+    /** Setting of daemons added later. */
+    int memory_mb = 256;
+    /** Limit on bodies in configurations that are published later. */
+    std::size_t max_body_bytes = 1'000'000;
 
     fleet(std::string build_dir, std::string_view name);
     ~fleet();
