--- a/src/usage/usage.cpp
+++ b/src/usage/usage.cpp
@@ -29,6 +29,8 @@
 constexpr time_ms message_timeout_ms = 400;
 constexpr time_ms silent_coordinator_retry_after_ms = 500;
 constexpr time_ms log_interval_ms = 1000;
+// A daemon knows the members this long after the first answer of a peer.
+constexpr time_ms member_exchange_ms = 1500;
 // The lease of a daemon that has left may last this long.
 constexpr time_ms left_member_ms = 2 * usage_support_ms;
 
@@ -71,7 +73,7 @@
 {
     if (self.first_peer_response_at > 0)
     {
-        return true;
+        return steady_now() - self.first_peer_response_at >= member_exchange_ms;
     }
     const endpoint own = own_control_endpoint(self);
     const bool has_seeds = std::any_of(self.config.seeds.begin(), self.config.seeds.end(),
@@ -222,6 +224,8 @@
     }
 }
 
+void run_tick(node& self);
+
 void handle_answer(node& self, std::uint64_t sequence, const json* response)
 {
     usage_runtime& usage = runtime_of(self);
@@ -247,6 +251,10 @@
         }
     }
     serve_all_waiters(self);
+    if (!usage.waiters.empty())
+    {
+        run_tick(self);
+    }
 }
 
 void send_message(node& self)
