Grant usage tokens by what was spent in the last five seconds

Cause: a bucket that refills at the rate lets a lasting load through at the rate only, and tokens that lie at daemons count against the burst. A limit allows rate x 5 + burst in 5 s, a fifth of the burst a second more. With few calls at each of many daemons the tokens at daemons alone took the whole burst.

Fix: the ledger counts what was reported as spent in the last 5 s and issues tokens up to rate x 5 + burst, and the same small addition as before, less what was spent and what lies at daemons. Spending counts from its report, so later than it happened; what a silent daemon held counts as spent; support that is gained counts as spent at an even rate in the last window.

--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -12,13 +12,16 @@
 
 constexpr double ms_per_second = 1000;
 constexpr time_ms sweep_interval_ms = 250;
+// A limit allows rate * 5 + burst calls in any 5 s.
+constexpr time_ms window_ms = 5000;
+constexpr time_ms slot_ms = 250;
 // Daemons send twice a second; without a message for this long, they count as idle.
 constexpr time_ms idle_after_ms = 3 * usage_interval_ms;
 // A later message of an earlier incarnation can't be under way any more.
 constexpr time_ms forget_member_after_ms = 60'000;
 
 // Tokens lie at daemons while they are not needed, and the spending of tokens is reported late. The
-// bucket is larger by what this takes. The sum stays below the bound on 5 s, which is
+// capacity is larger by what this takes. It stays below the bound on 5 s, which is
 // (5 * rate + burst) * 1.1 + 20, with some room for views that differ in the number of daemons.
 constexpr double extra_seconds_of_rate = 0.25;
 constexpr double extra_tokens = 8;
@@ -40,38 +43,71 @@
     return value.rate_per_s > 0;
 }
 
-/** Adds the tokens since the last refill, within the support and less the tokens at daemons. */
-void refill(usage_bucket& bucket, const organisation& limit, double support, time_ms now)
+double window_s()
 {
-    const double elapsed_s = static_cast<double>(now - bucket.refilled_at) / ms_per_second;
-    const double tokens = limit.rate_per_s * support * elapsed_s;
-    const double room = std::max(0.0, usage_capacity(limit) * support - bucket.held);
-    bucket.level = std::min(bucket.level + tokens, room);
-    bucket.refill_per_demand += tokens / std::max(bucket.demand, min_demand);
-    bucket.refilled_at = now;
+    return static_cast<double>(window_ms) / ms_per_second;
 }
 
-void refill_all(usage_ledger& ledger, const organisation_map& organisations, double support,
-                time_ms now)
+/** Calls per second that can be sustained with this support. */
+double sustained_rate(const organisation& limit, double support)
 {
-    for (auto& [name, bucket] : ledger.buckets)
+    return usage_capacity(limit) * support / window_s();
+}
+
+void record_spent(usage_bucket& bucket, double tokens, time_ms at)
+{
+    if (tokens > 0)
     {
-        if (const auto limit = organisations.find(name); limit != organisations.end())
-        {
-            refill(bucket, limit->second, support, now);
-        }
+        bucket.spent_by_slot[at / slot_ms] += tokens;
+        bucket.spent += tokens;
     }
 }
 
-/** Brings the support up to date. Support only ends between messages, so the lower of its values
- * at both ends of the time since the last call is the lowest in between. */
+/**
+ * Assumes that another coordinator has issued these tokens at an even rate in the last window: the
+ * daemons that now support this one may have supported another one until now.
+ */
+void assume_spent(usage_bucket& bucket, double tokens, time_ms now)
+{
+    constexpr int slots = window_ms / slot_ms;
+    for (int i = 0; i < slots; ++i)
+    {
+        record_spent(bucket, tokens / slots, now - i * slot_ms);
+    }
+}
+
+/** Forgets what was spent before the window, and computes what may be issued. */
+void refill(usage_bucket& bucket, const organisation& limit, double support, time_ms now)
+{
+    auto& slots = bucket.spent_by_slot;
+    while (!slots.empty() && (slots.begin()->first + 1) * slot_ms + window_ms <= now)
+    {
+        bucket.spent -= slots.begin()->second;
+        slots.erase(slots.begin());
+    }
+    bucket.spent = slots.empty() ? 0 : bucket.spent;
+    const double elapsed_s = static_cast<double>(now - bucket.refilled_at) / ms_per_second;
+    bucket.level = std::max(0.0, usage_capacity(limit) * support - bucket.spent - bucket.held);
+    bucket.refill_per_demand +=
+        sustained_rate(limit, support) * elapsed_s / std::max(bucket.demand, min_demand);
+    bucket.refilled_at = now;
+}
+
+/** Brings the support up to date. What is gained counts as spent in the last window. */
 void update_support(usage_ledger& ledger, const organisation_map& organisations, time_ms now)
 {
     const double support = valid_support(ledger, now);
-    if (support != ledger.support)
+    const double gained = support - std::exchange(ledger.support, support);
+    if (gained <= 0)
     {
-        refill_all(ledger, organisations, std::min(support, ledger.support), now);
-        ledger.support = support;
+        return;
+    }
+    for (auto& [name, bucket] : ledger.buckets)
+    {
+        if (const auto limit = organisations.find(name); limit != organisations.end())
+        {
+            assume_spent(bucket, usage_capacity(limit->second) * gained, now);
+        }
     }
 }
 
@@ -87,12 +123,24 @@
     {
         if (is_limited(limit))
         {
-            ledger.buckets.try_emplace(name, usage_bucket{.refilled_at = now});
+            const auto [bucket, is_new] =
+                ledger.buckets.try_emplace(name, usage_bucket{.refilled_at = now});
+            if (is_new)
+            {
+                assume_spent(bucket->second, usage_capacity(limit) * ledger.support, now);
+            }
         }
     }
 }
 
-/** Drops what silent daemons held. It may have been spent, so it doesn't return to the bucket. */
+/** Counts what is held as spent, since it may have been. */
+void write_off(usage_bucket& bucket, usage_holding& holding, time_ms now)
+{
+    bucket.held -= holding.held;
+    record_spent(bucket, std::exchange(holding.held, 0), now);
+}
+
+/** Writes off what silent daemons held. */
 void sweep(usage_ledger& ledger, time_ms now)
 {
     if (now - ledger.swept_at < sweep_interval_ms)
@@ -108,7 +156,7 @@
         {
             if (now - holding.claimed_at > usage_term_ms)
             {
-                bucket.held -= std::exchange(holding.held, 0);
+                write_off(bucket, holding, now);
             }
         }
         std::erase_if(bucket.holdings,
@@ -122,13 +170,12 @@
 }
 
 /** Replaces what is known of the tokens at the daemon. Tokens that it neither holds nor spent were
- * returned, or the answer with them was lost; they go back to the bucket. */
-void settle(usage_bucket& bucket, usage_holding& holding, const usage_claim& claim, double room)
+ * returned, or the answer with them was lost; they may be issued again. */
+void settle(usage_bucket& bucket, usage_holding& holding, const usage_claim& claim, time_ms now)
 {
-    const int returned = std::max(0, holding.held - claim.held - claim.spent);
     bucket.held += claim.held - holding.held;
     holding.held = claim.held;
-    bucket.level = std::min(bucket.level + returned, std::max(0.0, room - bucket.held));
+    record_spent(bucket, claim.spent, now);
 }
 
 void update_demand(usage_bucket& bucket, usage_holding& holding, double demand)
@@ -171,14 +218,14 @@
 usage_grant handle_claim(usage_bucket& bucket, const organisation& limit, const std::string& sender,
                          const usage_claim& claim, double support, time_ms now)
 {
-    refill(bucket, limit, support, now);
-    const double room = usage_capacity(limit) * support;
     usage_holding& holding =
         bucket.holdings
             .try_emplace(sender,
                          usage_holding{.credit = 1, .credit_mark = bucket.refill_per_demand})
             .first->second;
-    settle(bucket, holding, claim, room);
+    settle(bucket, holding, claim, now);
+    refill(bucket, limit, support, now);
+    const double room = std::max(0.0, usage_capacity(limit) * support - bucket.spent);
     update_demand(bucket, holding, static_cast<double>(claim.demand) / usage_demand_seconds);
     holding.claimed_at = now;
 
@@ -187,10 +234,11 @@
     if (bucket.held > room)
     {
         kept = std::min(kept, static_cast<int>(claim.held * room / bucket.held));
-        return {.tokens = kept, .more_in = time_until_more(bucket, holding, limit.rate_per_s)};
+        return {.tokens = kept,
+                .more_in = time_until_more(bucket, holding, sustained_rate(limit, support))};
     }
     const int missing = std::max(0, claim.wanted - claim.held);
-    const double refill_per_s = limit.rate_per_s * support;
+    const double refill_per_s = sustained_rate(limit, support);
     const double available = available_tokens(bucket, holding, claim, refill_per_s, room);
     const int granted = std::min(missing, static_cast<int>(std::max(0.0, available)));
     bucket.level -= granted;
@@ -220,7 +268,7 @@
             if (const auto found = bucket.holdings.find(request.sender);
                 found != bucket.holdings.end())
             {
-                bucket.held -= std::exchange(found->second.held, 0);
+                write_off(bucket, found->second, now);
             }
         }
     }
@@ -241,7 +289,7 @@
 
 double usage_capacity(const organisation& limit)
 {
-    return limit.burst + limit.rate_per_s * extra_seconds_of_rate + extra_tokens;
+    return limit.rate_per_s * (window_s() + extra_seconds_of_rate) + limit.burst + extra_tokens;
 }
 
 double valid_support(const usage_ledger& ledger, time_ms now)
--- a/src/usage/ledger.hpp
+++ b/src/usage/ledger.hpp
@@ -35,12 +35,17 @@
     double credit_mark = 0;
 };
 
-/** Token bucket of an organisation. */
+/** What an organisation has used in the last window, and what it may still use. */
 struct usage_bucket
 {
+    /** Tokens that may be issued now. */
     double level = 0;
     time_ms refilled_at = 0;
+    /** Tokens at daemons. */
     int held = 0;
+    /** Tokens that were reported as spent, or may have been, by the number of the time slot. */
+    std::map<std::int64_t, double> spent_by_slot;
+    double spent = 0;
     double demand = 0;
     /** Refilled tokens per unit of demand, accumulated. */
     double refill_per_demand = 0;
@@ -60,7 +65,7 @@
 
 using organisation_map = std::map<std::string, organisation>;
 
-/** Tokens that may be in the bucket and at daemons together when all daemons support it. */
+/** Tokens that may be spent in a window when all daemons support the coordinator. */
 double usage_capacity(const organisation& limit);
 
 /** The weight, 0 to 1, of the daemons whose support outlasts tokens that are issued now. */
