Test that evacuations are pushed and not superseded

Log lines are written in batches, so the process tests wait for them: three checks failed at times because they read the log at once.

--- a/test/evacuation-test.cpp
+++ b/test/evacuation-test.cpp
@@ -84,6 +84,14 @@
         return this->run_until(limit, [&] { return this->status(daemon) == expected; });
     }
 
+    /** Log lines are written in batches. */
+    bool wait_logged(const rig::fleet_daemon& daemon, const std::string& text)
+    {
+        return this->run_until(
+            start_limit_ms,
+            [&] { return read_file(daemon.log_file).find(text) != std::string::npos; });
+    }
+
     rig::fleet_daemon* runner = nullptr;
     rig::fleet_daemon* caller = nullptr;
 };
@@ -256,7 +264,7 @@
     BOOST_REQUIRE(this->run_until(2500, [&] { return waiting.has_value(); }));
     BOOST_TEST(*waiting == 503);
     BOOST_TEST(this->run_count("waiting") == 0);
-    BOOST_TEST(read_file(this->runner->log_file).find("event=evacuation ") != std::string::npos);
+    BOOST_TEST(this->wait_logged(*this->runner, "event=evacuation locality=zone-b active=yes"));
 }
 
 // Guards against an evacuated upstream that gets calls of daemons that do not know of it yet.
@@ -265,7 +273,7 @@
     this->wait_started();
     const auto offer = [&]
     {
-        http_request request;
+        http_request request{.headers = {{"X-Request-Id", "offered"}}};
         write_terms(request, {.id = "offered",
                               .instance = this->runner->upstream->instance,
                               .caller_service = "desk",
@@ -307,8 +315,7 @@
     this->evacuate(own_locality);
     BOOST_TEST(this->wait_status(*this->caller, 503, evacuation_limit_ms));
     BOOST_TEST(this->wait_status(refused, 503, peer_limit_ms));
-    const std::string log = read_file(refused.log_file);
-    BOOST_TEST(log.find("event=evacuation ") != std::string::npos);
+    BOOST_TEST(this->wait_logged(refused, "event=evacuation locality=zone-b active=yes"));
     this->received_requests.clear();
     BOOST_TEST(this->status(refused) == 503);
     BOOST_TEST(this->received_requests.empty());
@@ -362,9 +369,8 @@
                                   << " answered");
     BOOST_TEST(most <= cold_bound);
     BOOST_TEST(answered > 0);
-    const std::string log = read_file(this->runner->log_file);
-    BOOST_TEST(log.find("event=upstream_cold") != std::string::npos);
-    BOOST_TEST(log.find("event=cold_rate_reached") != std::string::npos);
+    BOOST_TEST(this->wait_logged(*this->runner, "event=upstream_cold"));
+    BOOST_TEST(this->wait_logged(*this->runner, "event=cold_rate_reached"));
 }
 
 // Guards against a bound that depends on health responses.
--- a/test/replica-records-test.cpp
+++ b/test/replica-records-test.cpp
@@ -218,3 +218,41 @@
         }
     }
 }
+
+// Guards against daemons that pass over an evacuation when a newer whole configuration replaces the
+// records before it, and against an evacuation that daemons without the store hear of late.
+BOOST_AUTO_TEST_CASE(evacuations_are_pushed_and_not_superseded)
+{
+    const event_loop_ptr loop = make_event_loop();
+    node self;
+    self.loop = loop.get();
+    self.config.domain = "north";
+    self.config.log_readers = 2;
+    self.config.log_push_records = false;
+    for (const char* member : {"a", "b", "c"})
+    {
+        self.members.members[member].record = {.id = member, .domain = "north"};
+    }
+    const std::vector<log_record> records{
+        {.offset = 0, .decoded_config = make_config(1, 1)},
+        {.offset = 1, .body = dump_evacuation({.locality = "zone-a", .active = true})},
+        {.offset = 2, .decoded_config = make_config(2, 1)}};
+    for (const char* id : {"a", "b", "c"})
+    {
+        self.config.id = id;
+        self.members.self_id = id;
+        if (is_log_reader(self))
+        {
+            break;
+        }
+    }
+    apply_records(self, records, "log");
+    const replica& config = self.config_replica;
+    BOOST_TEST(config.state.evacuated.contains("zone-a"));
+    BOOST_REQUIRE(config.superseded);
+    BOOST_TEST(config.superseded->from == 2U);
+    BOOST_TEST(self.pending.records.size() == records.size());
+    BOOST_TEST(!self.pending.unpushed);
+    BOOST_REQUIRE(!config.recent.empty());
+    BOOST_TEST(config.recent[1].body == records[1].body);
+}
