--- a/test/settings-test.cpp
+++ b/test/settings-test.cpp
@@ -40,6 +40,10 @@
     {valid + "[peers]\nseeds = 127.0.0.1:1, here\n", "'127.0.0.1:1, here'"},
     {"[daemon]\nid = vm-1\nregion = r\ndomain = d\n", "'endpoint' in section [log] is missing"},
     {"[daemon]\nid = vm 1\nregion = r\ndomain = d\n[log]\nendpoint = 127.0.0.1:1\n", "'vm 1'"},
+    {valid + "[sidecar]\ncold_excess = 0.5\n", "'0.5'"},
+    {valid + "[sidecar]\ncold_excess = nan\n", "'nan'"},
+    {valid + "[sidecar]\ncold_slack = -1\n", "'-1'"},
+    {valid + "[sidecar]\nretry_ratio = 1.5\n", "'1.5'"},
     {valid + "what is this\n", "not valid INI"},
 };
 
@@ -49,11 +53,15 @@
 BOOST_AUTO_TEST_CASE(valid_settings_are_read)
 {
     error reason;
-    const auto config = parse_settings(valid + "[upstream]\nlease_ms = 1500\n", reason);
+    const auto config = parse_settings(
+        valid + "[upstream]\nlease_ms = 1500\n[sidecar]\ncold_excess = 1.25\ncold_slack = 3\n",
+        reason);
     BOOST_REQUIRE_MESSAGE(config, describe(reason));
     BOOST_TEST(config->id == "vm-1");
     BOOST_TEST(to_string(config->log) == "127.0.0.1:7000");
     BOOST_TEST(config->lease == 1500);
+    BOOST_TEST(config->sidecar.cold_excess == 1.25);
+    BOOST_TEST(config->sidecar.cold_slack == 3);
 }
 
 // Guards against a daemon that starts with a misspelled or out-of-range setting, and against an
