Test that waiting calls are refused by the evacuation itself

The case passed without the refusal, because the waiting call expired first. It now has time to wait, and fails without it.

--- a/test/evacuation-test.cpp
+++ b/test/evacuation-test.cpp
@@ -250,20 +250,33 @@
 // Guards against calls that wait through an evacuation and run late, or are not answered.
 BOOST_FIXTURE_TEST_CASE(waiting_calls_are_refused_at_the_change, two_localities)
 {
+    // A call that misses its latency target waits for a twentieth of its time.
+    constexpr time_ms deadline_ms = 60'000;
+    this->route_timeout = deadline_ms;
+    this->publish(2, {"board", "desk"});
     this->runner->upstream->slots = 1;
     this->wait_started();
-    this->runner->upstream->processing_time = 3000;
-    this->start_call(*this->runner, {.deadline = 9000, .id = "running"}, [](const http_result&) {});
+    BOOST_REQUIRE(this->run_until(start_limit_ms,
+                                  [&]
+                                  {
+                                      this->status(*this->runner);
+                                      return read_file(this->runner->log_file).find(" config=2 ") !=
+                                             std::string::npos;
+                                  }));
+    this->runner->upstream->processing_time = 5000;
+    this->start_call(*this->runner, {.deadline = deadline_ms, .id = "running"},
+                     [](const http_result&) {});
     BOOST_REQUIRE(this->run_until(1000, [&] { return this->run_count("running") == 1; }));
     std::optional<int> waiting;
-    this->start_call(*this->runner, {.deadline = 9000, .id = "waiting"},
+    this->start_call(*this->runner, {.deadline = deadline_ms, .id = "waiting"},
                      [&](const http_result& result) { waiting = result.response.status; });
     this->run_for(200);
     BOOST_REQUIRE(!waiting.has_value());
     this->evacuate(own_locality);
-    BOOST_REQUIRE(this->run_until(2500, [&] { return waiting.has_value(); }));
+    BOOST_REQUIRE(this->run_until(2000, [&] { return waiting.has_value(); }));
     BOOST_TEST(*waiting == 503);
     BOOST_TEST(this->run_count("waiting") == 0);
+    BOOST_TEST(this->wait_logged(*this->runner, "locality 'zone-b' is evacuated"));
     BOOST_TEST(this->wait_logged(*this->runner, "event=evacuation locality=zone-b active=yes"));
 }
 
