--- a/test/evacuation-test.cpp
+++ b/test/evacuation-test.cpp
@@ -386,6 +386,21 @@
     BOOST_TEST(this->wait_logged(*this->runner, "event=cold_rate_reached"));
 }
 
+// Guards against announced cold times that are not applied, or that do not rise again.
+BOOST_FIXTURE_TEST_CASE(announced_cold_time_is_applied, cold_service)
+{
+    this->runner->upstream->answers_health = false;
+    const time_ms start = steady_now();
+    this->runner->upstream->cold_until = start + 3 * second_ms;
+    BOOST_TEST(this->announce(*this->runner) == 200);
+    const int answered = this->load(3 * second_ms, 8);
+    const int most = most_in_a_second(this->received_requests, this->runner->upstream->instance,
+                                      start, this->runner->upstream->cold_until);
+    BOOST_TEST_MESSAGE("at most " << most << " calls in a second, " << answered << " answered");
+    BOOST_TEST(most <= cold_rate);
+    BOOST_TEST(answered > 0);
+}
+
 // Guards against a bound that depends on health responses.
 BOOST_FIXTURE_TEST_CASE(rate_is_held_without_health_responses, cold_service)
 {
