--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -108,6 +108,11 @@
      * time covers service times above the average.
      */
     double local_fraction = 0;
+    /**
+     * Fraction of its slots that such an upstream may have in use according to a recent report.
+     * Upstreams slow down near full, and a locality with more calls than capacity fills up first.
+     */
+    double max_local_use = 0.6;
 };
 
 struct placement_request
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -178,6 +178,14 @@
     return healthy.empty() ? suspended : healthy;
 }
 
+/** Whether a recent report shows that the instance has slots to spare. */
+bool has_spare_slots(const instance_view& view, const placement_options& options, time_ms now)
+{
+    const double used = view.report.running + view.sent_since_report;
+    return has_recent_report(view, options, now) && view.report.waiting == 0 &&
+           used < options.max_local_use * std::max(view.slots, 1);
+}
+
 /** Moves the instances of the request's locality to the front and returns their end. */
 std::vector<std::size_t>::iterator partition_local(std::span<const instance_view> views,
                                                    const placement_request& request,
@@ -270,7 +278,7 @@
     {
         best = choose({usable.begin(), partition_local(views, request, usable)});
     }
-    if (!best || best->cost > local_limit)
+    if (!best || best->cost > local_limit || !has_spare_slots(views[best->index], options, now))
     {
         best = choose(std::move(usable));
     }
