Reject messages to the control port that can't be read

Cause: handlers of messages between daemons read some fields without a check of their type. The exception ended the process: a POST with {"alone": "x"} to /peer/v1/sync was enough.

--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -255,6 +255,28 @@
     }
 }
 
+/** Handles a message of a peer. One with a field of another type changes nothing further. */
+void handle_peer_message(node& self, request_id id, std::string_view path, const json& body)
+{
+    const auto respond = [&self, id](http_response response)
+    {
+        send_response(*self.control_server, id, std::move(response));
+    };
+    try
+    {
+        handle_peer_request(self, path, body, respond);
+    }
+    catch (const json::exception& problem)
+    {
+        count(self.stats, "peer_messages_rejected");
+        log_event(log_level::warning, "peer_message_rejected",
+                  {{"path", path}, {"reason", problem.what()}});
+        respond(error_response(400, {error_kind::invalid_argument,
+                                     std::string("the message can't be read: ") + problem.what(),
+                                     "run the same release on all daemons"}));
+    }
+}
+
 void handle_post(node& self, request_id id, std::string_view path, const http_request& request)
 {
     if (path == "/v1/patches")
@@ -296,9 +318,7 @@
     }
     if (path.substr(0, peer_path_prefix.size()) == peer_path_prefix)
     {
-        handle_peer_request(self, path, body,
-                            [&self, id](http_response response)
-                            { send_response(*self.control_server, id, std::move(response)); });
+        handle_peer_message(self, id, path, body);
         return;
     }
     handle_get(self, id, "POST " + std::string(path), request);
