--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,20 +1,14 @@
-#include "sardinepoint/http_server.hpp"
-
+#include "http_connections.hpp"
 #include "socket_address.hpp"
 
-#include <microhttpd.h>
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <optional>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -24,101 +18,23 @@
 namespace
 {
 
+using detail::as_server;
+using detail::exchange;
+using detail::exchange_state;
+using detail::server_connection;
+
 // libmicrohttpd doesn't watch suspended connections, so disconnected peers are found by polling.
 constexpr time_ms cancel_poll_interval_ms = 20;
-
 // "HTTP/1.1", two spaces, the line end and the empty line.
 constexpr std::uint64_t request_line_bytes = 14;
 // Status line, Content-Length header and empty line of a typical response.
 constexpr std::uint64_t status_line_bytes = 40;
-
 constexpr time_ms sweep_interval_ms = 500;
-// Time for the first request of a connection and for the head of any request.
-constexpr time_ms head_timeout_ms = 15'000;
 // Accounted for a request in addition to its body: header list, connection buffers.
 constexpr std::size_t exchange_overhead_bytes = 4096;
 // Connections that were told to close but are still open.
 constexpr unsigned closing_connections = 16;
 
-enum class exchange_state
-{
-    receiving,
-    pending,
-    ready,
-    sending,
-};
-
-struct exchange;
-
-/** A connection, from the accept until libmicrohttpd releases it. */
-struct server_connection
-{
-    std::uint64_t id = 0;
-    MHD_Connection* connection = nullptr;
-    int fd = -1;
-    exchange* current = nullptr;
-    std::uint64_t completed = 0;
-    /** Steady time of the accept or of the end of the last request. */
-    time_ms idle_since = 0;
-    /** The socket is shut down and waits to be released. */
-    bool dropped = false;
-};
-
-struct exchange
-{
-    std::uint64_t id = 0;
-    server_connection* owner = nullptr;
-    /** The body that is being received, or the response that is being sent. */
-    intake::transfer transfer;
-    exchange_state state = exchange_state::receiving;
-    http_request request;
-    http_response response;
-    MHD_Connection* connection = nullptr;
-    bool suspended = false;
-    bool cancelled = false;
-};
-
-} // namespace
-
-class http_server
-{
-public:
-    event_loop* loop = nullptr;
-    MHD_Daemon* daemon = nullptr;
-    int epoll_fd = -1;
-    http_server_options options;
-    http_server_callbacks callbacks;
-    std::unordered_map<std::uint64_t, exchange*> pending;
-    std::unordered_map<std::uint64_t, std::unique_ptr<server_connection>> connections;
-    std::uint64_t last_connection = 0;
-    intake::gate_handle gate;
-    timer_id sweep_timer;
-    /** Requests whose request line has arrived and whose response is not completely sent yet. */
-    std::size_t exchanges = 0;
-    bool closing = false;
-    timer_id cancel_timer;
-    wait_limit_id wait_limit;
-    std::uint64_t last_id = 0;
-    std::uint64_t bytes = 0;
-    bool accepting = true;
-    bool needs_run = false;
-};
-
-namespace
-{
-
-http_server& as_server(void* context)
-{
-    return *static_cast<http_server*>(context);
-}
-
-int connection_fd(MHD_Connection* connection)
-{
-    const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return info == nullptr ? -1 : info->connect_fd;
-}
-
 server_connection* connection_of(MHD_Connection* connection)
 {
     const MHD_ConnectionInfo* info =
@@ -329,158 +245,6 @@
     }
 }
 
-/** Disconnects a client; libmicrohttpd releases the connection in its next iteration. */
-void drop_connection(http_server& server, std::uint64_t id)
-{
-    const auto found = server.connections.find(id);
-    if (found == server.connections.end() || found->second->dropped)
-    {
-        return;
-    }
-    server_connection& dropped = *found->second;
-    dropped.dropped = true;
-    ::shutdown(dropped.fd, SHUT_RDWR);
-    server.needs_run = true;
-    exchange* current = dropped.current;
-    if (current == nullptr)
-    {
-        return;
-    }
-    if (current->state == exchange_state::receiving)
-    {
-        current->request.body = {};
-        intake::hold(server.gate, id, 0);
-    }
-    else if (current->state == exchange_state::pending && !current->cancelled)
-    {
-        current->cancelled = true;
-        const std::uint64_t request = current->id;
-        if (server.callbacks.on_cancelled)
-        {
-            server.callbacks.on_cancelled({request});
-        }
-        // A suspended connection would never be released.
-        send_response(server, {request}, {.status = 503, .headers = {}, .body = {}});
-    }
-}
-
-/** Makes room if the server has as many connections as it may have. */
-void evict_connection(http_server& server, std::uint64_t newest)
-{
-    std::vector<intake::connection_state> states;
-    for (const auto& [id, connection] : server.connections)
-    {
-        if (!connection->dropped && id != newest)
-        {
-            const exchange* current = connection->current;
-            states.push_back(
-                {.connection = id,
-                 .busy = current != nullptr && current->state != exchange_state::receiving,
-                 .completed = connection->completed,
-                 .last_activity = current == nullptr ? connection->idle_since
-                                                     : current->transfer.progressed_at});
-        }
-    }
-    if (states.size() < server.options.intake.limits.max_connections)
-    {
-        return;
-    }
-    intake::record_refusal(server.gate, "connections");
-    drop_connection(server, intake::choose_to_evict(states).value_or(newest));
-}
-
-std::uint32_t peer_of(MHD_Connection* connection)
-{
-    const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    if (info == nullptr || info->client_addr->sa_family != AF_INET)
-    {
-        return 0;
-    }
-    return reinterpret_cast<const sockaddr_in*>(info->client_addr)->sin_addr.s_addr;
-}
-
-void handle_connection(void* context, MHD_Connection* connection, void** socket_context,
-                       MHD_ConnectionNotificationCode code)
-{
-    http_server& server = as_server(context);
-    if (code == MHD_CONNECTION_NOTIFY_CLOSED)
-    {
-        if (const auto* closed = static_cast<server_connection*>(*socket_context))
-        {
-            intake::close_connection(server.gate, closed->id);
-            server.connections.erase(closed->id);
-        }
-        *socket_context = nullptr;
-        return;
-    }
-    auto created = std::make_unique<server_connection>();
-    created->id = ++server.last_connection;
-    created->connection = connection;
-    created->fd = connection_fd(connection);
-    created->idle_since = steady_now();
-    *socket_context = created.get();
-    const std::uint64_t id = created->id;
-    server.connections[id] = std::move(created);
-    intake::open_connection(server.gate, id, peer_of(connection));
-    if (server.gate.gate != nullptr)
-    {
-        evict_connection(server, id);
-    }
-}
-
-/** Reason to disconnect a client that is too slow; null if it isn't. */
-const char* slowness(const http_server& server, const server_connection& connection, time_ms now)
-{
-    const exchange* current = connection.current;
-    if (current == nullptr)
-    {
-        // Between requests libmicrohttpd doesn't tell an idle client from one that sends a head
-        // byte by byte.
-        const time_ms limit = connection.completed == 0
-                                  ? head_timeout_ms
-                                  : static_cast<time_ms>(server.options.idle_timeout_s) * 1000;
-        return now - connection.idle_since > limit ? "slow_head" : nullptr;
-    }
-    if (current->state == exchange_state::receiving)
-    {
-        if (current->connection == nullptr)
-        {
-            return now - current->transfer.started_at > head_timeout_ms ? "slow_head" : nullptr;
-        }
-        return intake::is_too_slow(current->transfer, server.options.intake.limits.pace, now)
-                   ? "slow_body"
-                   : nullptr;
-    }
-    // How much of a response was sent isn't known, so only its whole time is limited.
-    const intake::transfer sending{.started_at = current->transfer.started_at,
-                                   .progressed_at = now,
-                                   .bytes = current->transfer.bytes};
-    return current->state == exchange_state::sending &&
-                   intake::is_too_slow(sending, server.options.intake.limits.pace, now)
-               ? "slow_response"
-               : nullptr;
-}
-
-void drop_slow_connections(http_server& server)
-{
-    const time_ms now = steady_now();
-    std::vector<std::pair<std::uint64_t, const char*>> slow;
-    for (const auto& [id, connection] : server.connections)
-    {
-        const char* reason = connection->dropped ? nullptr : slowness(server, *connection, now);
-        if (reason != nullptr)
-        {
-            slow.emplace_back(id, reason);
-        }
-    }
-    for (const auto& [id, reason] : slow)
-    {
-        intake::record_refusal(server.gate, reason);
-        drop_connection(server, id);
-    }
-}
-
 void cancel_disconnected_requests(http_server& server)
 {
     std::vector<pollfd> polled;
@@ -489,7 +253,7 @@
     {
         if (current->suspended && !current->cancelled)
         {
-            polled.push_back({connection_fd(current->connection), POLLRDHUP, 0});
+            polled.push_back({detail::connection_fd(current->connection), POLLRDHUP, 0});
             ids.push_back(id);
         }
     }
@@ -602,7 +366,7 @@
         nullptr, nullptr, &handle_access, server.get(), MHD_OPTION_SOCK_ADDR, &*address,
         MHD_OPTION_URI_LOG_CALLBACK, &start_exchange, server.get(), MHD_OPTION_NOTIFY_COMPLETED,
         &finish_exchange, server.get(), MHD_OPTION_CONNECTION_LIMIT, max_connections,
-        MHD_OPTION_NOTIFY_CONNECTION, &handle_connection, server.get(),
+        MHD_OPTION_NOTIFY_CONNECTION, &detail::handle_connection, server.get(),
         MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, MHD_OPTION_END);
     if (server->daemon == nullptr)
     {
@@ -617,12 +381,12 @@
     watch_fd(
         loop, raw->epoll_fd, {.read = true, .write = false},
         [raw](io_interest) { run_pending_steps(*raw); }, options.priority);
-    raw->gate = intake::register_listener(options.intake,
-                                          [raw](std::uint64_t id) { drop_connection(*raw, id); });
+    raw->gate = intake::register_listener(options.intake, [raw](std::uint64_t id)
+                                          { detail::drop_connection(*raw, id); });
     if (raw->gate.gate != nullptr)
     {
         raw->sweep_timer =
-            run_every(loop, sweep_interval_ms, [raw] { drop_slow_connections(*raw); });
+            run_every(loop, sweep_interval_ms, [raw] { detail::drop_slow_connections(*raw); });
     }
     raw->wait_limit = add_wait_limit(loop, [raw] { return server_wait_limit(*raw); });
     if (raw->callbacks.on_cancelled)
--- a/test/hostile-clients-test.cpp
+++ b/test/hostile-clients-test.cpp
@@ -234,7 +234,9 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(this->target.port);
         inet_pton(AF_INET, this->target.address.c_str(), &address.sin_addr);
-        ::connect(this->fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        const int result =
+            ::connect(this->fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        BOOST_REQUIRE((result == 0 || errno == EINPROGRESS));
     }
 
     void handle_disconnect()
