--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -38,6 +38,8 @@
 constexpr time_ms outcome_retry_ms = 3000;
 // Shorter than for other moves, because the old version waits for the end of an ordered move.
 constexpr time_ms order_outcome_retry_ms = 1000;
+// Between two lines with the counts of a move whose decision doesn't change.
+constexpr time_ms evidence_log_interval_ms = 2000;
 constexpr double rate_smoothing_factor = 0.2;
 constexpr double ms_per_second = 1000;
 
@@ -218,6 +220,27 @@
     return std::min(static_cast<time_ms>(delay), max_slow_call_delay_ms);
 }
 
+void log_evidence(const move_spec& spec, tracked_move& tracked)
+{
+    tracked.evidence_logged_at = steady_now();
+    const version_counters& from = tracked.history.all_routes.observed_counters.from;
+    const version_counters& to = tracked.history.all_routes.observed_counters.to;
+    log_event(log_level::info, "move_evidence",
+              {{"move", spec.id},
+               {"step", tracked.progress.step},
+               {"share", tracked.history.last_share},
+               {"spread", tracked.progress.spread ? "yes" : "no"},
+               {"old_calls", from.calls},
+               {"old_failures", from.failures},
+               {"old_slow", from.slow},
+               {"old_untimed", from.untimed},
+               {"new_calls", to.calls},
+               {"new_failures", to.failures},
+               {"new_slow", to.slow},
+               {"new_untimed", to.untimed},
+               {"hold_reason", tracked.hold_reason}});
+}
+
 void decide(node& self, const move_record& record, tracked_move& tracked)
 {
     const move_spec& spec = record.spec;
@@ -237,13 +260,19 @@
     record_evidence(tracked.history, spec, tracked.progress, sum_evidence(tracked.domain_sums),
                     context);
     const move_decision decision = decide_move(spec, tracked.progress, tracked.history, context);
-    if (decision.hold_reason != tracked.hold_reason)
+    const bool hold_changed = decision.hold_reason != tracked.hold_reason;
+    if (hold_changed)
     {
         tracked.hold_reason = decision.hold_reason;
         log_event(log_level::info, "move_hold",
                   {{"move", spec.id}, {"reason", decision.hold_reason}});
     }
     bool broadcast_needed = advance_move(self, spec.id, decision.progress, "aggregator");
+    if (hold_changed || broadcast_needed ||
+        steady_now() - tracked.evidence_logged_at >= evidence_log_interval_ms)
+    {
+        log_evidence(spec, tracked);
+    }
     if (isolated && spec.policy.stop_when_isolated)
     {
         tracked.isolated_at = wall_now();
@@ -288,6 +317,7 @@
     tracked.calls_at_tick = tracked.calls;
     tracked.call_rate += rate_smoothing_factor *
                          (calls * ms_per_second / static_cast<double>(elapsed) - tracked.call_rate);
+    log_slow_thresholds(move, tracked);
     resolve_pending_crashes(self, tracked);
     report_own_evidence(self, move, tracked);
     const std::vector<std::string> aggregators = aggregators_of(self, move);
--- a/src/move_attempts.cpp
+++ b/src/move_attempts.cpp
@@ -1,5 +1,7 @@
 #include "move_internal.hpp"
 
+#include "sardinepoint/logging.hpp"
+
 #include <vector>
 
 namespace sardinepoint
@@ -11,6 +13,7 @@
 using nlohmann::json;
 
 constexpr time_ms crash_attribution_timeout_ms = 3000;
+constexpr time_ms threshold_log_interval_ms = 1000;
 constexpr double rate_smoothing_factor = 0.2;
 constexpr int first_server_error = 500;
 
@@ -20,18 +23,6 @@
     return new_version ? counters.to : counters.from;
 }
 
-/** The daemon's own threshold for the route, or else the one of the failure domain. */
-std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route)
-{
-    const auto own = tracked.slow_thresholds.find(route);
-    if (own != tracked.slow_thresholds.end() && own->second.threshold_ms)
-    {
-        return own->second.threshold_ms;
-    }
-    const auto shared = tracked.shared_thresholds.find(route);
-    return shared == tracked.shared_thresholds.end() ? std::nullopt : std::optional(shared->second);
-}
-
 void count_attempt(tracked_move& tracked, const attempt_evidence& attempt, bool new_version)
 {
     const std::string route(attempt.route);
@@ -83,6 +74,44 @@
 
 } // namespace
 
+std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route)
+{
+    const auto own = tracked.slow_thresholds.find(route);
+    if (own != tracked.slow_thresholds.end() && own->second.threshold_ms)
+    {
+        return own->second.threshold_ms;
+    }
+    const auto shared = tracked.shared_thresholds.find(route);
+    return shared == tracked.shared_thresholds.end() ? std::nullopt : std::optional(shared->second);
+}
+
+void log_slow_thresholds(const std::string& move, tracked_move& tracked)
+{
+    const time_ms now = steady_now();
+    if (now - tracked.thresholds_logged_at < threshold_log_interval_ms)
+    {
+        return;
+    }
+    tracked.thresholds_logged_at = now;
+    for (const auto& [route, counters] : tracked.own_counters)
+    {
+        const auto threshold = slow_threshold_of(tracked, route);
+        if (!threshold || tracked.logged_thresholds[route] == *threshold)
+        {
+            continue;
+        }
+        tracked.logged_thresholds[route] = *threshold;
+        const auto own = tracked.slow_thresholds.find(route);
+        const bool is_own = own != tracked.slow_thresholds.end() && own->second.threshold_ms;
+        log_event(log_level::info, "slow_threshold",
+                  {{"move", move},
+                   {"route", route},
+                   {"threshold_ms", *threshold},
+                   {"source", is_own ? "daemon" : "domain"},
+                   {"old_calls", counters.from.calls}});
+    }
+}
+
 void resolve_pending_crashes(node& self, tracked_move& tracked)
 {
     std::vector<std::uint64_t> due;
--- a/src/move_internal.hpp
+++ b/src/move_internal.hpp
@@ -2,6 +2,7 @@
 
 #include "move_runtime.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,13 @@
 bool advance_move(node& self, const std::string& move, const move_progress& progress,
                   std::string_view source);
 
+/** The daemon's own slow threshold for the route in milliseconds, or else the one of the failure
+ * domain; empty without either. */
+std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route);
+
+/** Logs the slow thresholds in force that have changed, at most once a second. */
+void log_slow_thresholds(const std::string& move, tracked_move& tracked);
+
 /** Counts overdue pending crashes as failures of their versions. A crash is dropped instead if its
  * request has been quarantined. */
 void resolve_pending_crashes(node& self, tracked_move& tracked);
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -39,6 +39,10 @@
     std::map<std::string, latency_counts> old_latencies;
     /** Thresholds in milliseconds from the aggregators, used on routes without one of its own. */
     std::map<std::string, double> shared_thresholds;
+    /** Thresholds in milliseconds as last logged, by route. */
+    std::map<std::string, double> logged_thresholds;
+    /** Steady time at which they were last compared with those in force. */
+    time_ms thresholds_logged_at = 0;
     /** By fingerprint of the crashed request. */
     std::map<std::uint64_t, pending_crash> pending_crashes;
     std::uint64_t calls = 0;
@@ -69,6 +73,8 @@
     /** Steady time of the last report of evidence. */
     time_ms reported_at = 0;
     std::string hold_reason;
+    /** Steady time at which this daemon last logged the counts behind its decisions. */
+    time_ms evidence_logged_at = 0;
 };
 
 /** Running and watched moves of this daemon by id. */
