Select a share of the calls at random positions instead of even intervals

The move_evidence lines show 10 slow calls of 18 at the end of the 20% step, and 1 of the 27 calls of the 50% step.

Cause: each daemon selected every second call at a share of 50%. The upstreams were slow in every second call to a daemon, so the new version got its fast calls only, for the whole step that decides. The slow threshold was 6.0 ms throughout, so it was not the cause.

Now each unit of the share selects one call at a random position. The share stays exact to less than two calls, and no period of the calls can coincide with the selection.

--- a/include/sardinepoint/route_table.hpp
+++ b/include/sardinepoint/route_table.hpp
@@ -51,13 +51,20 @@
 /** Removes the credits of routes that are no longer split. */
 void remove_unsplit_routes(split_credits& credits, const config_state& state);
 
-/** Credit of a share of the calls, which is selected at even intervals rather than at random. */
+/**
+ * Credit of a share of the calls. Each unit of credit selects one call, at a random position: a
+ * selection at even intervals picks the same phase of calls that differ periodically.
+ */
 struct share_credit
 {
     double credit = 0;
+    /** Credit at which the present unit selects its call, 1 if it has; empty before the first. */
+    std::optional<double> next;
+    /** Selections that are due. */
+    int due = 0;
 };
 
 /** Whether the next call belongs to a share of the given percentage. */
-bool select_by_share(share_credit& share, double percent);
+bool select_by_share(share_credit& share, double percent, std::mt19937_64& random);
 
 } // namespace sardinepoint
--- a/src/instance_choice.cpp
+++ b/src/instance_choice.cpp
@@ -63,7 +63,7 @@
     {
         call.to_new_version =
             rule.target &&
-            select_by_share(self.sidecar_state->move_shares[call.service], rule.share);
+            select_by_share(self.sidecar_state->move_shares[call.service], rule.share, self.random);
     }
     const std::vector<std::size_t> positions =
         eligible_instances(self, call, group, rule, call.to_new_version);
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -125,16 +125,35 @@
                   });
 }
 
-bool select_by_share(share_credit& share, double percent)
+bool select_by_share(share_credit& share, double percent, std::mt19937_64& random)
 {
     constexpr double full_percent = 100;
-    share.credit = std::min(share.credit + percent / full_percent, 1.0);
-    if (share.credit < 1)
+    if (percent <= 0 || percent >= full_percent)
     {
-        return false;
+        return percent > 0;
     }
-    share.credit -= 1;
-    return true;
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (!share.next)
+    {
+        share.next = uniform(random);
+    }
+    share.credit += percent / full_percent;
+    // A unit of credit can end with its selection still due while the next one's is due as well.
+    while (share.credit >= 1)
+    {
+        share.due += *share.next < 1 ? 1 : 0;
+        share.credit -= 1;
+        share.next = uniform(random);
+    }
+    if (*share.next <= share.credit)
+    {
+        ++share.due;
+        // Beyond the present unit of credit: each unit has one selection.
+        share.next = 1;
+    }
+    const bool selected = share.due > 0;
+    share.due -= selected ? 1 : 0;
+    return selected;
 }
 
 } // namespace sardinepoint
--- a/test/versions-test.cpp
+++ b/test/versions-test.cpp
@@ -7,8 +7,12 @@
 #include "outbound.hpp"
 #include "sidecar.hpp"
 
+#include "sardinepoint/route_table.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+#include <random>
 #include <string>
 
 using namespace sardinepoint;
@@ -99,3 +103,47 @@
     handle_config_change(this->self);
     BOOST_TEST(may_receive_call(version_rule_of(this->self, "board"), "v2", false));
 }
+
+// Guards against a share that always gets the same phase of calls that differ periodically: a slow
+// version received only its fast calls for a whole step.
+BOOST_AUTO_TEST_CASE(share_of_the_calls_follows_no_period)
+{
+    constexpr int calls = 4000;
+    std::mt19937_64 random{17};
+    for (const int period : {2, 3, 4})
+    {
+        for (const double percent : {3.0, 20.0, 50.0})
+        {
+            share_credit share;
+            int selected = 0;
+            int in_phase = 0;
+            for (int call = 0; call < calls; ++call)
+            {
+                if (select_by_share(share, percent, random))
+                {
+                    ++selected;
+                    in_phase += call % period == 0 ? 1 : 0;
+                }
+                // Each unit of the share selects one call, so the share is exact at all times.
+                BOOST_REQUIRE(std::abs(selected - (call + 1) * percent / 100) < 2);
+            }
+            // Six standard deviations of an independent choice.
+            const double expected = static_cast<double>(selected) / period;
+            BOOST_TEST(std::abs(in_phase - expected) <= 6 * std::sqrt(expected));
+        }
+    }
+}
+
+// Guards against calls outside the share after it has become 0, and against calls left out of it
+// at 100%.
+BOOST_AUTO_TEST_CASE(empty_and_full_shares_are_exact)
+{
+    std::mt19937_64 random{17};
+    share_credit share;
+    for (int call = 0; call < 100; ++call)
+    {
+        select_by_share(share, 90, random);
+        BOOST_TEST(!select_by_share(share, 0, random));
+        BOOST_TEST(select_by_share(share, 100, random));
+    }
+}
