--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 #include <cstring>
 
+#include "three_upstreams.hpp"
+
 #include "rig/fleet.hpp"
 #include "rig/mesh.hpp"
 
@@ -26,45 +28,6 @@
 namespace
 {
 
-constexpr time_ms start_limit_ms = 10000;
-
-/** Three daemons, each with an upstream of the service "board". */
-struct three_upstreams : rig::fleet
-{
-    three_upstreams() : rig::fleet(SARDINEPOINT_BIN_DIR, "sidecar")
-    {
-        this->publish(1, {"board"});
-        for (int i = 0; i < 3; ++i)
-        {
-            this->add("board");
-        }
-        BOOST_REQUIRE(this->wait_served("board", start_limit_ms));
-        BOOST_REQUIRE(this->wait_members(3, start_limit_ms));
-        this->received_requests.clear();
-    }
-
-    rig::fleet_daemon& daemon(std::size_t index)
-    {
-        return *this->daemons[index];
-    }
-
-    /** The daemon beside the upstream that ran the call. */
-    rig::fleet_daemon& runner_of(std::string_view id)
-    {
-        for (const rig::received_request& request : this->received_requests)
-        {
-            for (const auto& daemon : this->daemons)
-            {
-                if (request.id == id && daemon->upstream->instance == request.instance)
-                {
-                    return *daemon;
-                }
-            }
-        }
-        throw std::runtime_error("the call has not run");
-    }
-};
-
 std::string_view header_of(const http_result& result, std::string_view name)
 {
     return find_header(result.response.headers, name).value_or("");
@@ -590,149 +553,6 @@
     BOOST_TEST(this->call(restarted, {.path = "/desk/"}).response.status == 503);
 }
 
-namespace
-{
-
-/** New upstreams of the version v2 and the calls that are sent during the move to it. */
-struct move_scenario
-{
-    std::size_t new_upstreams = 2;
-    int new_status = 200;
-    /** Processing time of a new upstream from a call on, by their numbers; empty for the usual. */
-    std::function<time_ms(std::size_t upstream, std::uint64_t call)> new_processing_time;
-    time_ms call_interval = 8;
-    time_ms duration = 12000;
-};
-
-/** Makes each new upstream slow in every other round of calls to all daemons. */
-std::function<time_ms(std::size_t, std::uint64_t)> half_slow(time_ms usual, time_ms slow)
-{
-    return [usual, slow](std::size_t, std::uint64_t call)
-    {
-        return call / 3 % 2 == 0 ? usual : slow;
-    };
-}
-
-/** Starts a move to v2, sends calls until it ends or its time is up, and returns its recorded
- * state. */
-std::string move_to_v2(three_upstreams& fleet, const move_scenario& scenario)
-{
-    const time_ms duration = scenario.duration;
-    std::vector<rig::fleet_upstream*> added;
-    for (std::size_t i = 0; i < scenario.new_upstreams; ++i)
-    {
-        added.push_back(fleet.add("board", "v2").upstream.get());
-        added.back()->status = scenario.new_status;
-    }
-    fleet.store.write("keyed.op", "rollout/board",
-                      json{{"Service", "board"},
-                           {"TargetVersion", "v2"},
-                           {"Duration", std::to_string(duration) + "ms"}}
-                          .dump());
-    const time_ms end = steady_now() + duration;
-    std::string state;
-    std::uint64_t next = 0;
-    while (steady_now() < end && (state.empty() || state == "active"))
-    {
-        for (std::size_t i = 0; scenario.new_processing_time && i < added.size(); ++i)
-        {
-            added[i]->processing_time = scenario.new_processing_time(i, next);
-        }
-        fleet.start_call(fleet.daemon(next++ % 3), {}, [](const http_result&) {});
-        fleet.run_for(scenario.call_interval);
-        const std::string status = fleet.store.newest("keyed.status", "rollout/board");
-        state = status.empty() ? "" : json::parse(status).value("State", "");
-    }
-    return state;
-}
-
-double calls_of_version(const rig::fleet& fleet, std::string_view version)
-{
-    return static_cast<double>(std::count_if(
-        fleet.received_requests.begin(), fleet.received_requests.end(),
-        [version](const rig::received_request& request) { return request.version == version; }));
-}
-
-/** Number of calls that a bad version may receive. */
-double exposure_limit(const rig::fleet& fleet)
-{
-    constexpr double exposure_share = 0.1;
-    constexpr double exposure_slack = 50;
-    return exposure_share * static_cast<double>(fleet.received_requests.size()) + exposure_slack;
-}
-
-} // namespace
-
-// Guards against a good version that isn't rolled out completely before the deadline.
-BOOST_FIXTURE_TEST_CASE(good_version_is_complete_in_time, three_upstreams)
-{
-    BOOST_TEST(move_to_v2(*this, {.new_status = 200}) == "complete");
-    this->received_requests.clear();
-    for (std::size_t i = 0; i < 30; ++i)
-    {
-        this->call(this->daemon(i % 3), {});
-    }
-    for (const rig::received_request& request : this->received_requests)
-    {
-        BOOST_TEST(request.version == "v2", request.id + " ran on " + request.instance);
-    }
-}
-
-// Guards against a bad version that gets many calls, or any calls after it was withdrawn.
-BOOST_FIXTURE_TEST_CASE(bad_version_is_withdrawn, three_upstreams)
-{
-    BOOST_TEST(move_to_v2(*this, {.new_status = 500}) == "rolled_back");
-    int bad = 0;
-    for (const rig::received_request& request : this->received_requests)
-    {
-        bad += request.version == "v2" ? 1 : 0;
-    }
-    BOOST_TEST(bad >= 1);
-    BOOST_TEST(bad <= 50);
-    this->run_for(500);
-    this->received_requests.clear();
-    for (std::size_t i = 0; i < 30; ++i)
-    {
-        BOOST_TEST(this->call(this->daemon(i % 3), {}).response.status == 200);
-    }
-    for (const rig::received_request& request : this->received_requests)
-    {
-        BOOST_TEST(request.version == "v1");
-    }
-    BOOST_TEST(this->store.write_count("keyed.status", "rollout/board") <= 2);
-}
-
-// Guards against a slow version that is completed because each daemon alone has too few calls to
-// learn what is slow.
-BOOST_FIXTURE_TEST_CASE(slow_version_is_withdrawn_under_little_traffic, three_upstreams)
-{
-    BOOST_TEST(move_to_v2(*this, {.new_processing_time = half_slow(5, 60), .call_interval = 35}) ==
-               "rolled_back");
-    BOOST_TEST(calls_of_version(*this, "v2") <= exposure_limit(*this));
-}
-
-// Guards against a good version that is withdrawn because the one upstream that gets its first
-// calls is slow.
-BOOST_FIXTURE_TEST_CASE(good_version_with_a_slow_upstream_is_complete, three_upstreams)
-{
-    const auto first_is_slow = [](std::size_t upstream, std::uint64_t) -> time_ms
-    {
-        return upstream == 0 ? 60 : 5;
-    };
-    BOOST_TEST(move_to_v2(*this, {.new_upstreams = 4,
-                                  .new_processing_time = first_is_slow,
-                                  .call_interval = 35}) == "complete");
-}
-
-// Guards against a slow version whose share rises while its slow calls still run, because only its
-// fast calls have ended.
-BOOST_FIXTURE_TEST_CASE(running_calls_show_that_a_version_is_slow, three_upstreams)
-{
-    BOOST_TEST(move_to_v2(*this, {.new_processing_time = half_slow(5, 1500),
-                                  .call_interval = 20}) == "rolled_back");
-    BOOST_TEST(calls_of_version(*this, "v2") <= exposure_limit(*this));
-}
-
 // Guards against configuration changes that reset the state of a traffic split: the first call of
 // each daemon after a change went to the service with the highest weight.
 BOOST_AUTO_TEST_CASE(split_keeps_its_weights_in_a_series_of_changes)
