Observe slow calls anew only when their evidence follows the spread

Cause: slow calls were recorded again 1 s after the decision, the time within which it reaches all daemons. The reports of that moment hold calls from up to 0.75 s before, still made on the preferred upstream, which was slow.

Now the record starts when the evidence covers that moment.

--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -367,7 +367,7 @@
         .elapsed_fraction = std::max(0.0, static_cast<double>(context.now - since) / length),
         .share_rose = share > history.last_share * share_rise_factor,
         .full_share = share >= 100,
-        .records_slow_calls = context.now >= history.slow_calls_from,
+        .records_slow_calls = context.evidence_until >= history.slow_calls_from,
         .old_failure_burst_excess = burst_excess(history.failure_bursts),
         .old_slow_burst_excess = burst_excess(history.slow_bursts)};
     const signal_tests signals = find_signal_tests(spec.policy, context.routes);
