Tell slow versions from slow upstreams, and settle doubts in bounded time

The slow calls were counted; the decision did not use them.

Cause: an increase of slow calls by 25 in 100 is tolerated, since a good version may have a slow upstream, and after the calls were spread mere doubts did not count. For the same reason a version three times slower, of which about half of the calls exceed the threshold, was withdrawn late.

Daemons now also count the calls of an ordered move's new version by upstream. The aggregator multiplies the upstreams' likelihood ratios over several windows and leaves out a third of the upstreams, those that speak most for a slow version. With possible harm and 40 answers, the version's calls are held back at the first step's share; 1.5 s later the version is withdrawn if a slow version is more likely than a good one, else released.

--- a/include/sardinepoint/move.hpp
+++ b/include/sardinepoint/move.hpp
@@ -33,6 +33,9 @@
     /** The new version's calls go to all of its upstreams, because those on the preferred ones were
      * slow. */
     bool spread = false;
+    /** Incremented when the new version's calls are held back because of possible harm, and again
+     * when they are released. Always 0 in moves without an order. */
+    int holds = 0;
     /** Why the move was withdrawn or completed. */
     std::string reason;
 
@@ -43,6 +46,9 @@
  * state, and a withdrawal over a completion. */
 move_progress merge_progress(const move_progress& left, const move_progress& right);
 
+/** Whether the new version's calls are held back at the share of the first step. */
+bool is_held(const move_progress& progress);
+
 /** Percentage of the service's calls that the new version receives at the given time. */
 double share_at(const move_spec& spec, const move_progress& progress, time_ms now);
 
@@ -194,6 +200,65 @@
     verdict (*evaluate)(const test_state&, const test_parameters&) = nullptr;
 };
 
+// --- Slow upstreams -------------------------------------------------------------------------
+
+/** Answered calls for which it is known whether they were slow. */
+struct timed_counters
+{
+    std::uint64_t calls = 0;
+    std::uint64_t slow = 0;
+
+    bool operator==(const timed_counters&) const = default;
+};
+
+/** Cumulative counts of the old version and of each upstream of the new one. */
+struct slow_counts
+{
+    time_ms at = 0;
+    timed_counters from;
+    std::map<std::string, timed_counters> to;
+};
+
+/** Counts of an ordered move at several times, to compare the versions over windows that end now.
+ */
+struct slow_call_record
+{
+    /** Where the longest window begins. */
+    slow_counts first;
+    /** In order of time, at most one a second. */
+    std::vector<slow_counts> recent;
+    slow_counts latest;
+};
+
+/** Adds the present counts. */
+void record_slow_counts(slow_call_record& record, slow_counts counts);
+
+/** Forgets the counts up to now. */
+void restart_slow_counts(slow_call_record& record);
+
+/** Number of a version's upstreams that may be slow although the version is good. */
+std::size_t tolerated_slow_upstreams(std::size_t upstreams);
+
+/** Result of a comparison of the versions' slow calls. */
+struct slow_call_evidence
+{
+    /** Logarithm of the likelihood ratio of a slow version to a good one, of which some upstreams
+     * may be slow, averaged over the windows. */
+    double log_ratio = 0;
+    /** The same since the record began. */
+    double longest_log_ratio = 0;
+    /** The new version's timed calls since the record began. */
+    timed_counters to;
+};
+
+/**
+ * Compares the versions from several times before `anchor` up to now. Leaves out the given number
+ * of upstreams, those that speak most for a slow version. `old_burst_excess` is that of the
+ * interval counts.
+ */
+slow_call_evidence compare_slow_calls(const slow_call_record& record, std::size_t left_out,
+                                      double old_burst_excess, time_ms anchor);
+
 // --- Decisions ------------------------------------------------------------------------------
 
 /** Tracks the worst short-term hit rate of the old version over all routes of a service. */
@@ -234,6 +299,11 @@
     /** Step under observation, and the wall clock time at which it was first observed. */
     int step = -1;
     time_ms step_since = 0;
+    /** Slow calls by upstream; only of ordered moves. */
+    slow_call_record slow_calls;
+    /** Value of move_progress::holds and the wall clock time at which it was first observed. */
+    int holds = 0;
+    time_ms holds_since = 0;
 };
 
 /** Inputs of a decision besides the move and its evidence. */
@@ -247,6 +317,8 @@
     time_ms evidence_until = 0;
     /** Number of the service's routes, over which the error budget is split. */
     std::size_t routes = 1;
+    /** Number of the new version's upstreams, if known. */
+    std::size_t new_upstreams = 0;
 };
 
 struct move_decision
@@ -256,9 +328,11 @@
     std::string hold_reason;
 };
 
-/** Passes the increase since the last recorded totals to the verdict tests. */
+/** Passes the increase since the last recorded totals to the verdict tests. `upstream_totals` holds
+ * the new version's counters by upstream; moves without an order need none. */
 void record_evidence(move_history& history, const move_spec& spec, const move_progress& progress,
-                     const evidence_totals& totals, const move_context& context);
+                     const evidence_totals& totals, const move_context& context,
+                     const evidence_totals& upstream_totals = {});
 
 /** Decides whether to hold the move, advance it to the next step, withdraw it or complete it. */
 move_decision decide_move(const move_spec& spec, const move_progress& progress,
--- a/src/move.cpp
+++ b/src/move.cpp
@@ -9,6 +9,12 @@
 namespace
 {
 
+/** Time for the old version's calls in progress before the end of an ordered move is recorded. */
+constexpr time_ms order_drain_ms = 2'500;
+/** The end of an ordered move is sent to the store this long before the deadline, which leaves time
+ * for two calls to a slow store. */
+constexpr time_ms order_deadline_reserve_ms = 500;
+
 int outcome_precedence(const move_progress& progress)
 {
     if (progress.withdrawn)
@@ -42,6 +48,7 @@
         move_progress merged = left.recorded ? left : right;
         merged.step = std::max(left.step, right.step);
         merged.spread = left.spread || right.spread;
+        merged.holds = std::max(left.holds, right.holds);
         return merged;
     }
     // Takes the reason of the outcome with the higher precedence. Ties go to the lexicographically
@@ -54,6 +61,7 @@
         .done = left.done || right.done,
         .recorded = left.recorded,
         .spread = left.spread || right.spread,
+        .holds = std::max(left.holds, right.holds),
         .reason = left_key < right_key ? right.reason : left.reason,
     };
 }
@@ -65,6 +73,11 @@
     return spec.start + std::llround(fraction * length);
 }
 
+bool is_held(const move_progress& progress)
+{
+    return progress.holds % 2 != 0;
+}
+
 double share_at(const move_spec& spec, const move_progress& progress, time_ms now)
 {
     if (progress.withdrawn)
@@ -84,6 +97,10 @@
         }
         share = spec.steps[static_cast<std::size_t>(step)].share;
     }
+    if (is_held(progress) && !spec.steps.empty())
+    {
+        share = std::min(share, spec.steps.front().share);
+    }
     return std::clamp(share, 0.0, 100.0);
 }
 
@@ -107,6 +124,17 @@
     return !progress.done || now < spec.deadline + spec.policy.watch_period;
 }
 
+time_ms drain_time_left(const move_spec& spec, const move_progress& progress,
+                        time_ms time_since_done, time_ms now)
+{
+    if (spec.order == 0 || progress.withdrawn)
+    {
+        return 0;
+    }
+    const time_ms until_reserve = spec.deadline - order_deadline_reserve_ms - now;
+    return std::max<time_ms>(std::min(order_drain_ms - time_since_done, until_reserve), 0);
+}
+
 int preferred_upstream_count(const version_load& input)
 {
     if (input.upstreams <= 0)
--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -10,6 +10,8 @@
 
 #include "sardinepoint/logging.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -40,6 +42,8 @@
 constexpr time_ms order_outcome_retry_ms = 1000;
 // Between two lines with the counts of a move whose decision doesn't change.
 constexpr time_ms evidence_log_interval_ms = 2000;
+// The counts in the reason of a hold change with each decision.
+constexpr time_ms hold_log_interval_ms = 1000;
 constexpr double rate_smoothing_factor = 0.2;
 constexpr double ms_per_second = 1000;
 
@@ -58,6 +62,10 @@
     json message{{"id", self.config.id},
                  {"move", move},
                  {"proxies", {{proxy_name(self), to_json(tracked.own_counters)}}}};
+    if (!tracked.own_upstream_counters.empty())
+    {
+        message["upstreams"]["proxies"][proxy_name(self)] = to_json(tracked.own_upstream_counters);
+    }
     for (const auto& [route, counts] : tracked.old_latencies)
     {
         if (!tracked.slow_thresholds[route].threshold_ms)
@@ -77,11 +85,21 @@
     move_evidence sum;
     sum.totals_by_source[self.config.domain] = sum_evidence(tracked.proxy_evidence);
     merge_evidence(tracked.domain_sums, sum);
-    const json message{{"id", self.config.id},
-                       {"move", move},
-                       {"domains",
-                        {{self.config.domain,
-                          to_json(tracked.domain_sums.totals_by_source[self.config.domain])}}}};
+    json message{{"id", self.config.id},
+                 {"move", move},
+                 {"domains",
+                  {{self.config.domain,
+                    to_json(tracked.domain_sums.totals_by_source[self.config.domain])}}}};
+    move_evidence upstream_sum;
+    upstream_sum.totals_by_source[self.config.domain] =
+        sum_evidence(tracked.proxy_upstream_evidence);
+    merge_evidence(tracked.domain_upstream_sums, upstream_sum);
+    const evidence_totals& upstreams =
+        tracked.domain_upstream_sums.totals_by_source[self.config.domain];
+    if (!upstreams.empty())
+    {
+        message["upstreams"]["domains"][self.config.domain] = to_json(upstreams);
+    }
     for (const std::string& member : gateway_ids(self))
     {
         if (member != self.config.id)
@@ -220,6 +238,24 @@
     return std::min(static_cast<time_ms>(delay), max_slow_call_delay_ms);
 }
 
+/** Slow and timed calls of each upstream of the new version, for a log line. */
+std::string describe_upstreams(const slow_counts& counts)
+{
+    constexpr std::size_t max_logged_upstreams = 8;
+    std::string text;
+    std::size_t logged = 0;
+    for (const auto& [upstream, calls] : counts.to)
+    {
+        if (++logged > max_logged_upstreams)
+        {
+            return text + ",...";
+        }
+        text +=
+            fmt::format("{}{}:{}/{}", text.empty() ? "" : ",", upstream, calls.slow, calls.calls);
+    }
+    return text;
+}
+
 void log_evidence(const move_spec& spec, tracked_move& tracked)
 {
     tracked.evidence_logged_at = steady_now();
@@ -230,6 +266,7 @@
                {"step", tracked.progress.step},
                {"share", tracked.history.last_share},
                {"spread", tracked.progress.spread ? "yes" : "no"},
+               {"held", is_held(tracked.progress) ? "yes" : "no"},
                {"old_calls", from.calls},
                {"old_failures", from.failures},
                {"old_slow", from.slow},
@@ -238,6 +275,7 @@
                {"new_failures", to.failures},
                {"new_slow", to.slow},
                {"new_untimed", to.untimed},
+               {"new_upstreams", describe_upstreams(tracked.history.slow_calls.latest)},
                {"hold_reason", tracked.hold_reason}});
 }
 
@@ -256,9 +294,11 @@
         .routes = static_cast<std::size_t>(std::max<std::ptrdiff_t>(
             1, std::count_if(routes.begin(), routes.end(),
                              [&](const auto& entry)
-                             { return routes_to_service(entry.second, spec.service); })))};
+                             { return routes_to_service(entry.second, spec.service); }))),
+        .new_upstreams =
+            available_upstreams(self.members, spec.service, spec.to, self.config.domain).size()};
     record_evidence(tracked.history, spec, tracked.progress, sum_evidence(tracked.domain_sums),
-                    context);
+                    context, sum_evidence(tracked.domain_upstream_sums));
     const move_decision decision = decide_move(spec, tracked.progress, tracked.history, context);
     const bool hold_changed = decision.hold_reason != tracked.hold_reason;
     if (hold_changed)
@@ -268,8 +308,9 @@
                   {{"move", spec.id}, {"reason", decision.hold_reason}});
     }
     bool broadcast_needed = advance_move(self, spec.id, decision.progress, "aggregator");
-    if (hold_changed || broadcast_needed ||
-        steady_now() - tracked.evidence_logged_at >= evidence_log_interval_ms)
+    const time_ms since_logged = steady_now() - tracked.evidence_logged_at;
+    if (broadcast_needed || since_logged >= evidence_log_interval_ms ||
+        (hold_changed && since_logged >= hold_log_interval_ms))
     {
         log_evidence(spec, tracked);
     }
--- a/src/move_attempts.cpp
+++ b/src/move_attempts.cpp
@@ -23,22 +23,42 @@
     return new_version ? counters.to : counters.from;
 }
 
-void count_attempt(tracked_move& tracked, const attempt_evidence& attempt, bool new_version)
+/** Adds to the counters of the route and, for the new version of an ordered move, to those of the
+ * instance. */
+void add_counters(tracked_move& tracked, const move_spec& spec, const attempt_evidence& attempt,
+                  bool new_version, const version_counters& added)
+{
+    const auto add = [&](version_counters& counters)
+    {
+        counters.calls += added.calls;
+        counters.failures += added.failures;
+        counters.slow += added.slow;
+        counters.untimed += added.untimed;
+    };
+    add(counters_of(tracked, attempt.route, new_version));
+    if (new_version && spec.order > 0 && !attempt.instance.empty())
+    {
+        add(tracked.own_upstream_counters[std::string(attempt.instance)].to);
+    }
+}
+
+void count_attempt(tracked_move& tracked, const move_spec& spec, const attempt_evidence& attempt,
+                   bool new_version)
 {
     const std::string route(attempt.route);
-    version_counters& counters = counters_of(tracked, route, new_version);
     const auto latency = static_cast<double>(attempt.elapsed);
     const bool answered = attempt.outcome == run_outcome::answered;
     const bool failed = !answered || attempt.status >= first_server_error;
-    counters.failures += failed ? 1 : 0;
+    version_counters added{.failures = failed ? 1U : 0U};
     if (!attempt.counted_as_slow)
     {
         const auto threshold = slow_threshold_of(tracked, route);
         const bool untimed = answered && (attempt.cold || !threshold);
-        ++counters.calls;
-        counters.untimed += untimed ? 1 : 0;
-        counters.slow += !answered || (!untimed && latency > *threshold) ? 1 : 0;
+        added.calls = 1;
+        added.untimed = untimed ? 1 : 0;
+        added.slow = !answered || (!untimed && latency > *threshold) ? 1 : 0;
     }
+    add_counters(tracked, spec, attempt, new_version, added);
     if (answered && !new_version && !attempt.cold)
     {
         record_old_latency(tracked.slow_thresholds[route], latency);
@@ -165,7 +185,7 @@
     {
         attribute_crash(*tracked, attempt.fingerprint);
     }
-    count_attempt(*tracked, attempt, *new_version);
+    count_attempt(*tracked, record->spec, attempt, *new_version);
 }
 
 bool record_running_attempt(node& self, const attempt_evidence& attempt)
@@ -181,9 +201,7 @@
     {
         return false;
     }
-    version_counters& counters = counters_of(*tracked, attempt.route, *new_version);
-    ++counters.calls;
-    ++counters.slow;
+    add_counters(*tracked, record->spec, attempt, *new_version, {.calls = 1, .slow = 1});
     return true;
 }
 
--- a/src/move_decision.cpp
+++ b/src/move_decision.cpp
@@ -1,11 +1,11 @@
-#include "sardinepoint/move.hpp"
+#include "move_signals.hpp"
+#include "move_slow_verdict.hpp"
 
 #include "sardinepoint/registry.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 
 namespace sardinepoint
@@ -26,11 +26,11 @@
 /** Percentage up to which the share may rise in spite of doubts, and up to which slow calls may be
  * observed anew. */
 constexpr double max_doubtful_share = 25;
-/** Time for the old version's calls in progress before the end of an ordered move is recorded. */
-constexpr time_ms order_drain_ms = 2'500;
-/** The end of an ordered move is sent to the store this long before the deadline, which leaves time
- * for two calls to a slow store. */
-constexpr time_ms order_deadline_reserve_ms = 500;
+/** Answers of a new version that is possibly harmful from which on its calls are held back: they
+ * may include 50 bad ones once the answers that are not yet reported are added. */
+constexpr std::uint64_t max_unsettled_answers = 40;
+/** Time for which the calls are held back until the doubt is settled, one way or the other. */
+constexpr time_ms settle_ms = 1'500;
 /** Answered calls that a move needs if its policy does not advance on little evidence. */
 constexpr std::uint64_t min_answered_calls = 50;
 /** Name of the sum over all routes in reason texts. */
@@ -54,13 +54,6 @@
     test_parameters slow;
 };
 
-/** Splits the error budget evenly over the routes, their sum, and the two signals. */
-double error_probability_per_test(const move_policy& policy, std::size_t routes)
-{
-    const auto tests = static_cast<double>(2 * (routes + 1));
-    return policy.wrong_withdrawal_probability / tests;
-}
-
 signal_tests find_signal_tests(const move_policy& policy, std::size_t routes)
 {
     const double error_probability = error_probability_per_test(policy, routes);
@@ -79,11 +72,6 @@
             .to_hits = after.to.failures - before.to.failures};
 }
 
-std::uint64_t timed_calls(const version_counters& counters)
-{
-    return counters.calls - std::min(counters.untimed, counters.calls);
-}
-
 interval_counts slow_interval(const route_counters& before, const route_counters& after)
 {
     return {.from_calls = timed_calls(after.from) - timed_calls(before.from),
@@ -92,52 +80,6 @@
             .to_hits = after.to.slow - before.to.slow};
 }
 
-/** Minimum number of the old version's calls in a period of the burst tracker; few enough to detect
- * bursts of one second on a busy service. */
-constexpr double burst_period_calls = 100;
-constexpr double long_term_decay = 0.99;
-
-void update_burst_tracker(burst_tracker& bursts, double calls, double hits)
-{
-    bursts.long_term_hits = bursts.long_term_hits * long_term_decay + hits;
-    bursts.long_term_calls = bursts.long_term_calls * long_term_decay + calls;
-    bursts.period_hits += hits;
-    bursts.period_calls += calls;
-    if (bursts.period_calls < burst_period_calls)
-    {
-        return;
-    }
-    const double rate = bursts.period_hits / bursts.period_calls;
-    // Uses a lower confidence bound: the highest raw rate of many short periods is due to chance.
-    const double standard_error = std::sqrt(rate * (1 - rate) / bursts.period_calls);
-    bursts.worst_rate = std::max(bursts.worst_rate, rate - 2 * standard_error);
-    bursts.period_hits = 0;
-    bursts.period_calls = 0;
-}
-
-double burst_excess(const burst_tracker& bursts)
-{
-    const double long_term_rate = bursts.long_term_hits / std::max(bursts.long_term_calls, 1.0);
-    return std::max(0.0, bursts.worst_rate - long_term_rate);
-}
-
-route_counters sum_routes(const evidence_totals& totals)
-{
-    route_counters sum;
-    for (const auto& [name, counters] : totals)
-    {
-        sum.from.calls += counters.from.calls;
-        sum.from.failures += counters.from.failures;
-        sum.from.slow += counters.from.slow;
-        sum.from.untimed += counters.from.untimed;
-        sum.to.calls += counters.to.calls;
-        sum.to.failures += counters.to.failures;
-        sum.to.slow += counters.to.slow;
-        sum.to.untimed += counters.to.untimed;
-    }
-    return sum;
-}
-
 /** Properties of an interval that are the same for all routes. */
 struct interval_context
 {
@@ -203,10 +145,11 @@
 
 /** Confirmed harm on the route, else suspected harm, else nothing. */
 std::optional<harm> find_route_harm(const signal_tests& signals, std::string_view name,
-                                    const route_history& route)
+                                    const route_history& route, bool by_slow_calls)
 {
     const verdict failures = signals.test.evaluate(route.failures, signals.failures);
-    const verdict slow = signals.test.evaluate(route.slow, signals.slow);
+    const verdict slow =
+        by_slow_calls ? signals.test.evaluate(route.slow, signals.slow) : verdict{};
     const version_counters& from = route.observed_counters.from;
     const version_counters& to = route.observed_counters.to;
     if (failures.harmful || (failures.suspicious && !slow.harmful))
@@ -226,29 +169,31 @@
 }
 
 /** Whether a route's evidence is too little for a suspicion but raises doubts. */
-bool is_doubtful(const signal_tests& signals, const route_history& route)
+bool is_doubtful(const signal_tests& signals, const route_history& route, bool by_slow_calls)
 {
     return signals.test.evaluate(route.failures, signals.failures).doubtful ||
-           signals.test.evaluate(route.slow, signals.slow).doubtful;
+           (by_slow_calls && signals.test.evaluate(route.slow, signals.slow).doubtful);
 }
 
-bool has_doubts(const move_spec& spec, const move_history& history, std::size_t routes)
+bool has_doubts(const move_spec& spec, const move_history& history, std::size_t routes,
+                bool by_slow_calls)
 {
     const signal_tests signals = find_signal_tests(spec.policy, routes);
-    return is_doubtful(signals, history.all_routes) ||
+    return is_doubtful(signals, history.all_routes, by_slow_calls) ||
            std::any_of(history.routes.begin(), history.routes.end(),
-                       [&](const auto& entry) { return is_doubtful(signals, entry.second); });
+                       [&](const auto& entry)
+                       { return is_doubtful(signals, entry.second, by_slow_calls); });
 }
 
 /** The first confirmed harm in route order, else the first suspected one. */
 std::optional<harm> find_harm(const move_policy& policy, const move_history& history,
-                              std::size_t routes)
+                              std::size_t routes, bool by_slow_calls)
 {
     const signal_tests signals = find_signal_tests(policy, routes);
     std::optional<harm> suspicion;
     for (const auto& [name, route] : history.routes)
     {
-        std::optional<harm> found = find_route_harm(signals, name, route);
+        std::optional<harm> found = find_route_harm(signals, name, route, by_slow_calls);
         if (found && found->confirmed)
         {
             return found;
@@ -256,7 +201,7 @@
         suspicion = suspicion ? suspicion : found;
     }
     const std::optional<harm> overall =
-        find_route_harm(signals, all_routes_name, history.all_routes);
+        find_route_harm(signals, all_routes_name, history.all_routes, by_slow_calls);
     return overall && (overall->confirmed || !suspicion) ? overall : suspicion;
 }
 
@@ -287,10 +232,11 @@
 /**
  * Whether slow calls may stem from a slow upstream. While the share of an ordered move is small,
  * few upstreams get the new version's calls, and the move is too short to wait for better evidence.
+ * While the calls are held back, a fault that shows only under load would not show on the others.
  */
 bool may_spread(const move_spec& spec, const move_progress& progress, time_ms now)
 {
-    return spec.order > 0 && !progress.spread &&
+    return spec.order > 0 && !progress.spread && !is_held(progress) &&
            share_at(spec, progress, now) <= max_doubtful_share &&
            now < spec.deadline - final_decision_lead_ms - min_spread_ms;
 }
@@ -313,6 +259,72 @@
     return decision;
 }
 
+/**
+ * Decision of an ordered move about slow calls by upstream; empty if they don't matter. As soon as
+ * the answers of a possibly harmful version may include 50 bad ones, its calls are held back, and
+ * after a fixed time the more likely of good and harmful counts.
+ */
+std::optional<move_decision> decide_on_slow_calls(const move_spec& spec,
+                                                  const move_progress& progress,
+                                                  const move_history& history,
+                                                  const move_context& context)
+{
+    if (spec.order == 0 || history.slow_calls.latest.to.empty())
+    {
+        return std::nullopt;
+    }
+    const slow_call_verdict verdict = judge_slow_calls(spec, progress, history, context);
+    const std::size_t upstreams =
+        std::max(context.new_upstreams, history.slow_calls.latest.to.size());
+    if (verdict.doubtful && tolerated_slow_upstreams(upstreams) > 0 &&
+        may_spread(spec, progress, context.now))
+    {
+        return spread(progress, verdict.reason);
+    }
+    if (verdict.harmful)
+    {
+        return withdraw(progress, verdict.reason);
+    }
+    if (progress.done)
+    {
+        return std::nullopt;
+    }
+    if (!is_held(progress))
+    {
+        if (!verdict.doubtful || verdict.answers < max_unsettled_answers)
+        {
+            return std::nullopt;
+        }
+        move_decision held = hold(progress, "calls are held back: " + verdict.reason);
+        ++held.progress.holds;
+        return held;
+    }
+    if (!verdict.harmful_if_held && context.now < std::min(history.holds_since + settle_ms,
+                                                           spec.deadline - final_decision_lead_ms))
+    {
+        return hold(progress, "calls are held back: " + verdict.reason);
+    }
+    if (verdict.harmful_if_held || verdict.likely)
+    {
+        return withdraw(progress, "possible harm not cleared up: " + verdict.reason);
+    }
+    move_decision released{.progress = progress};
+    ++released.progress.holds;
+    return released;
+}
+
+bool are_few_upstreams_slow(const move_spec& spec, const move_progress& progress,
+                            const move_history& history, const move_context& context)
+{
+    return spec.order > 0 && judge_slow_calls(spec, progress, history, context).unlikely;
+}
+
+bool has_slow_call_doubts(const move_spec& spec, const move_progress& progress,
+                          const move_history& history, const move_context& context)
+{
+    return spec.order > 0 && judge_slow_calls(spec, progress, history, context).doubtful;
+}
+
 /** Completes the move if no harm is suspected and there is enough evidence, else withdraws it. */
 move_decision decide_at_deadline(const move_spec& spec, const move_progress& progress,
                                  const move_history& history, const std::optional<harm>& suspicion,
@@ -347,7 +359,8 @@
 } // namespace
 
 void record_evidence(move_history& history, const move_spec& spec, const move_progress& progress,
-                     const evidence_totals& totals, const move_context& context)
+                     const evidence_totals& totals, const move_context& context,
+                     const evidence_totals& upstream_totals)
 {
     const double length = static_cast<double>(std::max<time_ms>(spec.deadline - spec.start, 1));
     const time_ms since = std::max(history.observed_until, spec.start);
@@ -376,6 +389,18 @@
         record_route_interval(history.routes[name], counters, signals, shared);
     }
     record_route_interval(history.all_routes, sum, signals, shared);
+    record_slow_counts(history.slow_calls, make_slow_counts(sum, upstream_totals, context.now));
+    if (progress.holds != history.holds)
+    {
+        history.holds = progress.holds;
+        history.holds_since = context.now;
+        if (!is_held(progress))
+        {
+            // The step has to be observed anew.
+            history.step_since = context.now;
+            restart_slow_counts(history.slow_calls);
+        }
+    }
     if (progress.step != history.step)
     {
         history.step = progress.step;
@@ -392,7 +417,9 @@
     {
         return {.progress = progress};
     }
-    const std::optional<harm> found = find_harm(spec.policy, history, context.routes);
+    const bool few_slow_upstreams = are_few_upstreams_slow(spec, progress, history, context);
+    const std::optional<harm> found =
+        find_harm(spec.policy, history, context.routes, !few_slow_upstreams);
     if (found && found->by_slow_calls && may_spread(spec, progress, context.now))
     {
         return spread(progress, found->reason);
@@ -401,6 +428,10 @@
     {
         return withdraw(progress, found->reason);
     }
+    if (const auto decided = decide_on_slow_calls(spec, progress, history, context))
+    {
+        return *decided;
+    }
     if (progress.done)
     {
         return {.progress = progress};
@@ -417,9 +448,11 @@
     const bool observed = is_step_observed(spec, progress, history, context.evidence_until);
     if (context.now >= spec.deadline - final_decision_lead_ms)
     {
-        // After the calls were spread, doubts may still stem from one slow upstream of a few.
-        if (!found && spec.order > 0 && !progress.spread &&
-            has_doubts(spec, history, context.routes))
+        // After the calls were spread, doubts by the sum of the upstreams may still stem from a
+        // slow one.
+        const bool doubtful = spec.order > 0 && !progress.spread &&
+                              has_doubts(spec, history, context.routes, !few_slow_upstreams);
+        if (!found && (doubtful || has_slow_call_doubts(spec, progress, history, context)))
         {
             return withdraw(progress, "possible harm not cleared up by the deadline");
         }
@@ -440,8 +473,9 @@
         return hold(progress, "waiting for evidence of the present step");
     }
     const double next_share = spec.steps[static_cast<std::size_t>(next)].share;
-    if (spec.order > 0 && next_share > max_doubtful_share &&
-        has_doubts(spec, history, context.routes))
+    if (next_share > max_doubtful_share &&
+        ((spec.order > 0 && has_doubts(spec, history, context.routes, !few_slow_upstreams)) ||
+         has_slow_call_doubts(spec, progress, history, context)))
     {
         return hold(progress, "possible harm, not enough evidence");
     }
@@ -458,15 +492,4 @@
     return complete(spec, progress, "all steps passed");
 }
 
-time_ms drain_time_left(const move_spec& spec, const move_progress& progress,
-                        time_ms time_since_done, time_ms now)
-{
-    if (spec.order == 0 || progress.withdrawn)
-    {
-        return 0;
-    }
-    const time_ms until_reserve = spec.deadline - order_deadline_reserve_ms - now;
-    return std::max<time_ms>(std::min(order_drain_ms - time_since_done, until_reserve), 0);
-}
-
 } // namespace sardinepoint
--- a/src/move_exchange.cpp
+++ b/src/move_exchange.cpp
@@ -6,6 +6,7 @@
 #include "sardinepoint/logging.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sardinepoint
 {
@@ -24,6 +25,7 @@
                {"done", progress.done ? "yes" : "no"},
                {"recorded", progress.recorded ? "yes" : "no"},
                {"spread", progress.spread ? "yes" : "no"},
+               {"held", is_held(progress) ? "yes" : "no"},
                {"source", source},
                {"reason", progress.reason}});
 }
@@ -126,8 +128,15 @@
         const auto own = tracked.domain_sums.totals_by_source.find(self.config.domain);
         if (own != tracked.domain_sums.totals_by_source.end())
         {
-            values.push_back(
-                {{"move", id}, {"domains", {{self.config.domain, to_json(own->second)}}}});
+            json value{{"move", id}, {"domains", {{self.config.domain, to_json(own->second)}}}};
+            const auto upstreams =
+                tracked.domain_upstream_sums.totals_by_source.find(self.config.domain);
+            if (upstreams != tracked.domain_upstream_sums.totals_by_source.end() &&
+                !upstreams->second.empty())
+            {
+                value["upstreams"]["domains"][self.config.domain] = to_json(upstreams->second);
+            }
+            values.push_back(std::move(value));
         }
     }
     return values;
@@ -178,6 +187,11 @@
             tracked.last_domain_reports[domain] = steady_now();
         }
     }
+    const json upstreams = object_or_empty(message, "upstreams");
+    merge_evidence(tracked.proxy_upstream_evidence,
+                   parse_evidence(object_or_empty(upstreams, "proxies")));
+    merge_evidence(tracked.domain_upstream_sums,
+                   parse_evidence(object_or_empty(upstreams, "domains")));
     const json latencies = object_or_empty(message, "latencies");
     for (const auto& [proxy, routes] : latencies.items())
     {
--- a/src/move_json.cpp
+++ b/src/move_json.cpp
@@ -91,19 +91,27 @@
 
 json to_json(const move_progress& progress)
 {
-    return {{"step", progress.step},     {"withdrawn", progress.withdrawn},
-            {"done", progress.done},     {"recorded", progress.recorded},
-            {"spread", progress.spread}, {"reason", progress.reason}};
+    json value{{"step", progress.step},     {"withdrawn", progress.withdrawn},
+               {"done", progress.done},     {"recorded", progress.recorded},
+               {"spread", progress.spread}, {"reason", progress.reason}};
+    if (progress.holds > 0)
+    {
+        value["holds"] = progress.holds;
+    }
+    return value;
 }
 
 move_progress parse_progress(const json& value)
 {
     move_progress progress;
-    const auto step = value.find("step");
-    if (step != value.end() && step->is_number_integer())
+    const auto number = [&](const char* key)
     {
-        progress.step = std::max(0, step->get<int>());
-    }
+        const auto found = value.find(key);
+        return found != value.end() && found->is_number_integer() ? std::max(0, found->get<int>())
+                                                                  : 0;
+    };
+    progress.step = number("step");
+    progress.holds = number("holds");
     const auto flag = [&](const char* key)
     {
         const auto found = value.find(key);
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -31,6 +31,8 @@
 
     // Evidence from this daemon's own calls.
     evidence_totals own_counters;
+    /** The new version's counters by instance, over all routes; of ordered moves only. */
+    evidence_totals own_upstream_counters;
     /** Counters as last sent to the aggregators. */
     evidence_totals sent_counters;
     /** Learned from this daemon's own calls, by route. */
@@ -55,12 +57,16 @@
     // State of this daemon as aggregator or gateway.
     /** Counters of the proxies of this daemon's failure domain. */
     move_evidence proxy_evidence;
+    /** Counters by instance of the proxies of this failure domain. */
+    move_evidence proxy_upstream_evidence;
     /** The old version's latencies at the proxies of this failure domain, by route and proxy. */
     std::map<std::string, std::map<std::string, latency_counts>> proxy_latencies;
     /** Thresholds in milliseconds from these latencies, by route. */
     std::map<std::string, double> domain_thresholds;
     /** Sums over each failure domain. */
     move_evidence domain_sums;
+    /** Sums by instance over each failure domain. */
+    move_evidence domain_upstream_sums;
     /** Steady time of the last evidence received from each other failure domain. */
     std::map<std::string, time_ms> last_domain_reports;
     move_history history;
@@ -89,6 +95,8 @@
     std::string_view service;
     std::string_view route;
     std::string_view version;
+    /** Instance that ran the attempt; empty if the caller's daemon does not know it. */
+    std::string_view instance;
     run_outcome outcome = run_outcome::unknown;
     int status = 0;
     time_ms elapsed = 0;
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -288,6 +288,7 @@
     record_attempt_evidence(self, {.service = call.service,
                                    .route = call.route,
                                    .version = call.version,
+                                   .instance = call.instance,
                                    .outcome = report.outcome,
                                    .status = status,
                                    .elapsed = report.upstream_time,
@@ -646,6 +647,7 @@
             record_running_attempt(self, {.service = call->service,
                                           .route = call->route,
                                           .version = call->version,
+                                          .instance = call->instance,
                                           .elapsed = now - call->offered_at - wait});
     }
 }
--- a/test/move-test.cpp
+++ b/test/move-test.cpp
@@ -9,8 +9,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace sardinepoint;
@@ -178,9 +182,12 @@
     std::mt19937_64 random = make_random();
     for (int round = 0; round < rounds; ++round)
     {
-        const move_progress a = draw_progress(random);
-        const move_progress b = draw_progress(random);
-        const move_progress c = draw_progress(random);
+        move_progress a = draw_progress(random);
+        a.holds = draw(random, 0, 3);
+        move_progress b = draw_progress(random);
+        b.holds = draw(random, 0, 3);
+        move_progress c = draw_progress(random);
+        c.holds = draw(random, 0, 3);
         BOOST_TEST((merge_progress(a, a) == a));
         BOOST_TEST((merge_progress(a, b) == merge_progress(b, a)));
         BOOST_TEST(
@@ -671,6 +678,289 @@
     BOOST_TEST(move.progress.withdrawn);
 }
 
+namespace
+{
+
+enum class fault_onset : std::uint8_t
+{
+    never,
+    start,
+    middle,
+    under_load,
+};
+
+/** An ordered move to a version that answers slowly, or whose slow upstreams are not its fault. */
+struct slow_case
+{
+    const char* name;
+    fault_onset onset;
+    /** Factor of the service time while the fault shows. */
+    double factor;
+    /** Calls of the service per second. */
+    double rate;
+    std::size_t upstreams;
+    /** Upstreams of a good version that are slower by the factor. */
+    std::size_t slow_upstreams = 0;
+    std::size_t first_slow_upstream = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const slow_case& value)
+{
+    return stream << value.name << ", factor " << value.factor << ", " << value.rate << " calls/s, "
+                  << value.upstreams << " upstreams";
+}
+
+/** Runs an ordered move of a minute; calls are drawn one by one with a log-normal service time. */
+struct slow_move
+{
+    static constexpr time_ms tick_ms = 250;
+    /** Time from a call to the decision that knows of it. */
+    static constexpr time_ms evidence_lag_ms = 750;
+    /** Time from a decision to the last daemon that acts on it. */
+    static constexpr time_ms decision_lag_ms = 500;
+    static constexpr double service_time_spread = 0.6;
+    static constexpr double normal_95th_percentile = 1.645;
+
+    slow_case scenario;
+    move_driver driver;
+    std::mt19937_64 random;
+    evidence_totals upstream_totals;
+    /** Counts that the aggregator does not know yet, by time. */
+    std::vector<std::pair<evidence_totals, evidence_totals>> unreported;
+    std::vector<move_progress> unknown_progress;
+    std::uint64_t bad = 0;
+    std::optional<time_ms> fiftieth_bad_at;
+    std::optional<time_ms> last_call_at;
+
+    slow_move(const slow_case& scenario, unsigned case_seed) : scenario(scenario), random(case_seed)
+    {
+        this->driver.spec.order = 1;
+        this->driver.spec.deadline = minute;
+        this->driver.spec.steps = ordered_move_steps();
+        this->driver.spec.policy.tolerated_slow_increase = 0.25;
+        this->driver.context.new_upstreams = scenario.upstreams;
+    }
+
+    bool is_faulty(time_ms now, double share) const
+    {
+        switch (this->scenario.onset)
+        {
+        case fault_onset::never:
+            return false;
+        case fault_onset::start:
+            return true;
+        case fault_onset::middle:
+            return now >= minute / 3;
+        case fault_onset::under_load:
+            return share >= 50;
+        }
+        return false;
+    }
+
+    bool draw_slow(double factor)
+    {
+        const double latency = std::normal_distribution<double>(0, service_time_spread)(random);
+        return latency + std::log(factor) > normal_95th_percentile * service_time_spread;
+    }
+
+    /** Makes the calls of one tick. */
+    void make_calls(time_ms now, const move_progress& known)
+    {
+        const double share = share_at(this->driver.spec, known, now);
+        const auto upstreams = static_cast<double>(this->scenario.upstreams);
+        const double preferred =
+            known.spread ? upstreams : std::max(1.0, std::floor(upstreams * share / 100));
+        std::poisson_distribution<int> calls(this->scenario.rate * tick_ms / 1'000);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        for (int i = calls(this->random); i > 0; --i)
+        {
+            route_counters& route = this->driver.totals["a"];
+            if (uniform(this->random) * 100 >= share)
+            {
+                ++route.from.calls;
+                route.from.slow += this->draw_slow(1) ? 1 : 0;
+                continue;
+            }
+            const auto upstream = static_cast<std::size_t>(uniform(this->random) * preferred);
+            const bool faulty = this->is_faulty(now, share);
+            const std::size_t first_slow = this->scenario.first_slow_upstream;
+            const bool slower = faulty || (upstream >= first_slow &&
+                                           upstream < first_slow + this->scenario.slow_upstreams);
+            const bool slow = this->draw_slow(slower ? this->scenario.factor : 1);
+            version_counters& own = this->upstream_totals["i" + std::to_string(upstream)].to;
+            for (version_counters* counters : {&route.to, &own})
+            {
+                ++counters->calls;
+                counters->slow += slow ? 1 : 0;
+            }
+            this->last_call_at = now;
+            this->bad += faulty ? 1 : 0;
+            if (this->bad >= 50 && !this->fiftieth_bad_at)
+            {
+                this->fiftieth_bad_at = now;
+            }
+        }
+    }
+
+    void run()
+    {
+        move_driver& move = this->driver;
+        for (time_ms now = 0; now < minute; now += tick_ms)
+        {
+            this->unknown_progress.push_back(move.progress);
+            const std::size_t decided = this->unknown_progress.size();
+            const std::size_t known =
+                decided - std::min<std::size_t>(decided, 1 + decision_lag_ms / tick_ms);
+            this->make_calls(now, this->unknown_progress[known]);
+            this->unreported.emplace_back(move.totals, this->upstream_totals);
+            const std::size_t made = this->unreported.size();
+            const auto& [totals, upstreams] =
+                this->unreported[made - std::min<std::size_t>(made, 1 + evidence_lag_ms / tick_ms)];
+            move.context.now = now;
+            move.context.evidence_until = now - evidence_lag_ms;
+            move.context.routes = 2;
+            record_evidence(move.history, move.spec, move.progress, totals, move.context,
+                            upstreams);
+            const move_decision decision =
+                decide_move(move.spec, move.progress, move.history, move.context);
+            move.progress = decision.progress;
+            move.hold_reason = decision.hold_reason;
+        }
+    }
+};
+
+std::vector<slow_case> slow_cases()
+{
+    std::vector<slow_case> cases;
+    for (const double factor : {3.0, 5.0, 10.0})
+    {
+        for (const double rate : {30.0, 100.0, 446.0})
+        {
+            for (const std::size_t upstreams : {2, 6})
+            {
+                cases.push_back({"from the start", fault_onset::start, factor, rate, upstreams});
+                cases.push_back({"from the middle", fault_onset::middle, factor, rate, upstreams});
+                cases.push_back({"under load", fault_onset::under_load, factor, rate, upstreams});
+            }
+        }
+    }
+    return cases;
+}
+
+std::vector<slow_case> good_cases()
+{
+    std::vector<slow_case> cases;
+    for (const double factor : {3.0, 5.0, 10.0})
+    {
+        for (const double rate : {30.0, 100.0, 446.0})
+        {
+            cases.push_back({"no slow upstream", fault_onset::never, factor, rate, 2, 0});
+            cases.push_back({"no slow upstream", fault_onset::never, factor, rate, 6, 0});
+            cases.push_back({"one slow upstream", fault_onset::never, factor, rate, 4, 1});
+            cases.push_back({"one slow upstream", fault_onset::never, factor, rate, 6, 1});
+            cases.push_back({"one slow upstream", fault_onset::never, factor, rate, 2, 1});
+            cases.push_back({"one slow upstream", fault_onset::never, factor, rate, 3, 1});
+            cases.push_back({"second is slow", fault_onset::never, factor, rate, 6, 1, 1});
+            cases.push_back({"last is slow", fault_onset::never, factor, rate, 6, 1, 5});
+            cases.push_back({"two slow upstreams", fault_onset::never, factor, rate, 8, 2});
+        }
+    }
+    return cases;
+}
+
+constexpr unsigned slow_case_seeds = 20;
+
+} // namespace
+
+// Guards against calls that are held back at a higher share than the first step's, and against a
+// release that an older message of a peer undoes.
+BOOST_AUTO_TEST_CASE(held_calls_get_the_share_of_the_first_step)
+{
+    move_spec spec = ten_minute_move();
+    spec.steps = ordered_move_steps();
+    move_progress progress{.step = 3};
+    const time_ms now = spec.deadline - 1;
+    BOOST_TEST(share_at(spec, progress, now) == spec.steps[3].share);
+    progress.holds = 1;
+    BOOST_TEST(is_held(progress));
+    BOOST_TEST(share_at(spec, progress, now) == spec.steps[0].share);
+    move_progress released = progress;
+    ++released.holds;
+    const move_progress merged = merge_progress(released, progress);
+    BOOST_TEST(!is_held(merged));
+    BOOST_TEST(share_at(spec, merged, now) == spec.steps[3].share);
+}
+
+// Guards against blaming a version for its slow upstreams, and against leaving out the evidence of
+// a fault that all upstreams show.
+BOOST_AUTO_TEST_CASE(slow_upstreams_are_told_from_a_slow_version)
+{
+    slow_call_record few;
+    slow_call_record all;
+    for (std::uint64_t second = 1; second <= 10; ++second)
+    {
+        slow_counts counts{.at = static_cast<time_ms>(second) * 1'000,
+                           .from = {.calls = 200 * second, .slow = 10 * second}};
+        for (const char* upstream : {"a", "b", "c", "d", "e", "f"})
+        {
+            counts.to[upstream] = {.calls = 4 * second, .slow = 0};
+        }
+        counts.to["a"].slow = counts.to["b"].slow = 4 * second;
+        record_slow_counts(few, counts);
+        for (auto& [upstream, calls] : counts.to)
+        {
+            calls.slow = 2 * second;
+        }
+        record_slow_counts(all, counts);
+    }
+    const auto log_ratio = [](const slow_call_record& record, std::size_t left_out)
+    {
+        return compare_slow_calls(record, left_out, 0, record.latest.at).log_ratio;
+    };
+    BOOST_TEST(tolerated_slow_upstreams(6) == 2);
+    BOOST_TEST(log_ratio(few, 0) > 5);
+    BOOST_TEST(log_ratio(few, 2) < 0);
+    BOOST_TEST(log_ratio(all, 2) > 5);
+    // After a restart, the earlier calls do not count.
+    restart_slow_counts(all);
+    BOOST_TEST(std::abs(log_ratio(all, 0)) < 0.001);
+    BOOST_TEST(compare_slow_calls(all, 0, 0, all.latest.at).to.calls == 0);
+}
+
+// Guards against a slow version that gets calls long after the daemons together have seen enough
+// bad answers, or that is completed.
+BOOST_DATA_TEST_CASE(slow_version_gets_no_call_5_s_after_its_50th_bad_answer,
+                     data::make(slow_cases()), scenario)
+{
+    constexpr time_ms limit_ms = 5'000;
+    for (unsigned i = 0; i < slow_case_seeds; ++i)
+    {
+        slow_move move(scenario, seed + i);
+        move.run();
+        BOOST_TEST(move.driver.progress.withdrawn,
+                   "seed " << i << ", bad " << move.bad << ", " << move.driver.progress.reason);
+        if (move.fiftieth_bad_at)
+        {
+            BOOST_TEST(*move.last_call_at <= *move.fiftieth_bad_at + limit_ms,
+                       "seed " << i << ", 50th at " << *move.fiftieth_bad_at << ", last at "
+                               << *move.last_call_at);
+        }
+    }
+}
+
+// Guards against a good version that is withdrawn or late because some of its upstreams are slow.
+BOOST_DATA_TEST_CASE(good_version_beside_slow_upstreams_is_done_by_the_deadline,
+                     data::make(good_cases()), scenario)
+{
+    for (unsigned i = 0; i < slow_case_seeds; ++i)
+    {
+        slow_move move(scenario, seed + i);
+        move.run();
+        BOOST_TEST(move.driver.progress.done, "seed " << i << ", " << move.driver.progress.reason);
+        BOOST_TEST(!move.driver.progress.withdrawn);
+    }
+}
+
 // Guards against a small share distributed over so many upstreams that a load-dependent fault does
 // not appear.
 BOOST_AUTO_TEST_CASE(few_upstreams_take_a_small_share)
