--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -10,6 +10,8 @@
 
 #include "sardinepoint/logging.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,10 @@
 constexpr time_ms outcome_retry_ms = 3000;
 // Shorter than for other moves, because the old version waits for the end of an ordered move.
 constexpr time_ms order_outcome_retry_ms = 1000;
+// Between two lines with the counts of a move whose decision doesn't change.
+constexpr time_ms evidence_log_interval_ms = 2000;
+// The counts in the reason of a hold change with each decision.
+constexpr time_ms hold_log_interval_ms = 1000;
 constexpr double rate_smoothing_factor = 0.2;
 constexpr double ms_per_second = 1000;
 
@@ -56,6 +62,10 @@
     json message{{"id", self.config.id},
                  {"move", move},
                  {"proxies", {{proxy_name(self), to_json(tracked.own_counters)}}}};
+    if (!tracked.own_upstream_counters.empty())
+    {
+        message["upstreams"]["proxies"][proxy_name(self)] = to_json(tracked.own_upstream_counters);
+    }
     for (const auto& [route, counts] : tracked.old_latencies)
     {
         if (!tracked.slow_thresholds[route].threshold_ms)
@@ -75,11 +85,21 @@
     move_evidence sum;
     sum.totals_by_source[self.config.domain] = sum_evidence(tracked.proxy_evidence);
     merge_evidence(tracked.domain_sums, sum);
-    const json message{{"id", self.config.id},
-                       {"move", move},
-                       {"domains",
-                        {{self.config.domain,
-                          to_json(tracked.domain_sums.totals_by_source[self.config.domain])}}}};
+    json message{{"id", self.config.id},
+                 {"move", move},
+                 {"domains",
+                  {{self.config.domain,
+                    to_json(tracked.domain_sums.totals_by_source[self.config.domain])}}}};
+    move_evidence upstream_sum;
+    upstream_sum.totals_by_source[self.config.domain] =
+        sum_evidence(tracked.proxy_upstream_evidence);
+    merge_evidence(tracked.domain_upstream_sums, upstream_sum);
+    const evidence_totals& upstreams =
+        tracked.domain_upstream_sums.totals_by_source[self.config.domain];
+    if (!upstreams.empty())
+    {
+        message["upstreams"]["domains"][self.config.domain] = to_json(upstreams);
+    }
     for (const std::string& member : gateway_ids(self))
     {
         if (member != self.config.id)
@@ -218,6 +238,47 @@
     return std::min(static_cast<time_ms>(delay), max_slow_call_delay_ms);
 }
 
+/** Slow and timed calls of each upstream of the new version, for a log line. */
+std::string describe_upstreams(const slow_counts& counts)
+{
+    constexpr std::size_t max_logged_upstreams = 8;
+    std::string text;
+    std::size_t logged = 0;
+    for (const auto& [upstream, calls] : counts.to)
+    {
+        if (++logged > max_logged_upstreams)
+        {
+            return text + ",...";
+        }
+        text +=
+            fmt::format("{}{}:{}/{}", text.empty() ? "" : ",", upstream, calls.slow, calls.calls);
+    }
+    return text;
+}
+
+void log_evidence(const move_spec& spec, tracked_move& tracked)
+{
+    tracked.evidence_logged_at = steady_now();
+    const version_counters& from = tracked.history.all_routes.observed_counters.from;
+    const version_counters& to = tracked.history.all_routes.observed_counters.to;
+    log_event(log_level::info, "move_evidence",
+              {{"move", spec.id},
+               {"step", tracked.progress.step},
+               {"share", tracked.history.last_share},
+               {"spread", tracked.progress.spread ? "yes" : "no"},
+               {"held", is_held(tracked.progress) ? "yes" : "no"},
+               {"old_calls", from.calls},
+               {"old_failures", from.failures},
+               {"old_slow", from.slow},
+               {"old_untimed", from.untimed},
+               {"new_calls", to.calls},
+               {"new_failures", to.failures},
+               {"new_slow", to.slow},
+               {"new_untimed", to.untimed},
+               {"new_upstreams", describe_upstreams(tracked.history.slow_calls.latest)},
+               {"hold_reason", tracked.hold_reason}});
+}
+
 void decide(node& self, const move_record& record, tracked_move& tracked)
 {
     const move_spec& spec = record.spec;
@@ -233,17 +294,26 @@
         .routes = static_cast<std::size_t>(std::max<std::ptrdiff_t>(
             1, std::count_if(routes.begin(), routes.end(),
                              [&](const auto& entry)
-                             { return routes_to_service(entry.second, spec.service); })))};
+                             { return routes_to_service(entry.second, spec.service); }))),
+        .new_upstreams =
+            available_upstreams(self.members, spec.service, spec.to, self.config.domain).size()};
     record_evidence(tracked.history, spec, tracked.progress, sum_evidence(tracked.domain_sums),
-                    context);
+                    context, sum_evidence(tracked.domain_upstream_sums));
     const move_decision decision = decide_move(spec, tracked.progress, tracked.history, context);
-    if (decision.hold_reason != tracked.hold_reason)
+    const bool hold_changed = decision.hold_reason != tracked.hold_reason;
+    if (hold_changed)
     {
         tracked.hold_reason = decision.hold_reason;
         log_event(log_level::info, "move_hold",
                   {{"move", spec.id}, {"reason", decision.hold_reason}});
     }
     bool broadcast_needed = advance_move(self, spec.id, decision.progress, "aggregator");
+    const time_ms since_logged = steady_now() - tracked.evidence_logged_at;
+    if (broadcast_needed || since_logged >= evidence_log_interval_ms ||
+        (hold_changed && since_logged >= hold_log_interval_ms))
+    {
+        log_evidence(spec, tracked);
+    }
     if (isolated && spec.policy.stop_when_isolated)
     {
         tracked.isolated_at = wall_now();
@@ -288,6 +358,7 @@
     tracked.calls_at_tick = tracked.calls;
     tracked.call_rate += rate_smoothing_factor *
                          (calls * ms_per_second / static_cast<double>(elapsed) - tracked.call_rate);
+    log_slow_thresholds(move, tracked);
     resolve_pending_crashes(self, tracked);
     report_own_evidence(self, move, tracked);
     const std::vector<std::string> aggregators = aggregators_of(self, move);
--- a/src/move_attempts.cpp
+++ b/src/move_attempts.cpp
@@ -1,5 +1,7 @@
 #include "move_internal.hpp"
 
+#include "sardinepoint/logging.hpp"
+
 #include <vector>
 
 namespace sardinepoint
@@ -11,6 +13,7 @@
 using nlohmann::json;
 
 constexpr time_ms crash_attribution_timeout_ms = 3000;
+constexpr time_ms threshold_log_interval_ms = 1000;
 constexpr double rate_smoothing_factor = 0.2;
 constexpr int first_server_error = 500;
 
@@ -20,34 +23,42 @@
     return new_version ? counters.to : counters.from;
 }
 
-/** The daemon's own threshold for the route, or else the one of the failure domain. */
-std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route)
+/** Adds to the counters of the route and, for the new version of an ordered move, to those of the
+ * instance. */
+void add_counters(tracked_move& tracked, const move_spec& spec, const attempt_evidence& attempt,
+                  bool new_version, const version_counters& added)
 {
-    const auto own = tracked.slow_thresholds.find(route);
-    if (own != tracked.slow_thresholds.end() && own->second.threshold_ms)
+    const auto add = [&](version_counters& counters)
     {
-        return own->second.threshold_ms;
+        counters.calls += added.calls;
+        counters.failures += added.failures;
+        counters.slow += added.slow;
+        counters.untimed += added.untimed;
+    };
+    add(counters_of(tracked, attempt.route, new_version));
+    if (new_version && spec.order > 0 && !attempt.instance.empty())
+    {
+        add(tracked.own_upstream_counters[std::string(attempt.instance)].to);
     }
-    const auto shared = tracked.shared_thresholds.find(route);
-    return shared == tracked.shared_thresholds.end() ? std::nullopt : std::optional(shared->second);
 }
 
-void count_attempt(tracked_move& tracked, const attempt_evidence& attempt, bool new_version)
+void count_attempt(tracked_move& tracked, const move_spec& spec, const attempt_evidence& attempt,
+                   bool new_version)
 {
     const std::string route(attempt.route);
-    version_counters& counters = counters_of(tracked, route, new_version);
     const auto latency = static_cast<double>(attempt.elapsed);
     const bool answered = attempt.outcome == run_outcome::answered;
     const bool failed = !answered || attempt.status >= first_server_error;
-    counters.failures += failed ? 1 : 0;
+    version_counters added{.failures = failed ? 1U : 0U};
     if (!attempt.counted_as_slow)
     {
         const auto threshold = slow_threshold_of(tracked, route);
         const bool untimed = answered && (attempt.cold || !threshold);
-        ++counters.calls;
-        counters.untimed += untimed ? 1 : 0;
-        counters.slow += !answered || (!untimed && latency > *threshold) ? 1 : 0;
+        added.calls = 1;
+        added.untimed = untimed ? 1 : 0;
+        added.slow = !answered || (!untimed && latency > *threshold) ? 1 : 0;
     }
+    add_counters(tracked, spec, attempt, new_version, added);
     if (answered && !new_version && !attempt.cold)
     {
         record_old_latency(tracked.slow_thresholds[route], latency);
@@ -83,6 +94,44 @@
 
 } // namespace
 
+std::optional<double> slow_threshold_of(const tracked_move& tracked, const std::string& route)
+{
+    const auto own = tracked.slow_thresholds.find(route);
+    if (own != tracked.slow_thresholds.end() && own->second.threshold_ms)
+    {
+        return own->second.threshold_ms;
+    }
+    const auto shared = tracked.shared_thresholds.find(route);
+    return shared == tracked.shared_thresholds.end() ? std::nullopt : std::optional(shared->second);
+}
+
+void log_slow_thresholds(const std::string& move, tracked_move& tracked)
+{
+    const time_ms now = steady_now();
+    if (now - tracked.thresholds_logged_at < threshold_log_interval_ms)
+    {
+        return;
+    }
+    tracked.thresholds_logged_at = now;
+    for (const auto& [route, counters] : tracked.own_counters)
+    {
+        const auto threshold = slow_threshold_of(tracked, route);
+        if (!threshold || tracked.logged_thresholds[route] == *threshold)
+        {
+            continue;
+        }
+        tracked.logged_thresholds[route] = *threshold;
+        const auto own = tracked.slow_thresholds.find(route);
+        const bool is_own = own != tracked.slow_thresholds.end() && own->second.threshold_ms;
+        log_event(log_level::info, "slow_threshold",
+                  {{"move", move},
+                   {"route", route},
+                   {"threshold_ms", *threshold},
+                   {"source", is_own ? "daemon" : "domain"},
+                   {"old_calls", counters.from.calls}});
+    }
+}
+
 void resolve_pending_crashes(node& self, tracked_move& tracked)
 {
     std::vector<std::uint64_t> due;
@@ -136,7 +185,7 @@
     {
         attribute_crash(*tracked, attempt.fingerprint);
     }
-    count_attempt(*tracked, attempt, *new_version);
+    count_attempt(*tracked, record->spec, attempt, *new_version);
 }
 
 bool record_running_attempt(node& self, const attempt_evidence& attempt)
@@ -152,9 +201,7 @@
     {
         return false;
     }
-    version_counters& counters = counters_of(*tracked, attempt.route, *new_version);
-    ++counters.calls;
-    ++counters.slow;
+    add_counters(*tracked, record->spec, attempt, *new_version, {.calls = 1, .slow = 1});
     return true;
 }
 
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -31,6 +31,8 @@
 
     // Evidence from this daemon's own calls.
     evidence_totals own_counters;
+    /** The new version's counters by instance, over all routes; of ordered moves only. */
+    evidence_totals own_upstream_counters;
     /** Counters as last sent to the aggregators. */
     evidence_totals sent_counters;
     /** Learned from this daemon's own calls, by route. */
@@ -39,6 +41,10 @@
     std::map<std::string, latency_counts> old_latencies;
     /** Thresholds in milliseconds from the aggregators, used on routes without one of its own. */
     std::map<std::string, double> shared_thresholds;
+    /** Thresholds in milliseconds as last logged, by route. */
+    std::map<std::string, double> logged_thresholds;
+    /** Steady time at which they were last compared with those in force. */
+    time_ms thresholds_logged_at = 0;
     /** By fingerprint of the crashed request. */
     std::map<std::uint64_t, pending_crash> pending_crashes;
     std::uint64_t calls = 0;
@@ -51,12 +57,16 @@
     // State of this daemon as aggregator or gateway.
     /** Counters of the proxies of this daemon's failure domain. */
     move_evidence proxy_evidence;
+    /** Counters by instance of the proxies of this failure domain. */
+    move_evidence proxy_upstream_evidence;
     /** The old version's latencies at the proxies of this failure domain, by route and proxy. */
     std::map<std::string, std::map<std::string, latency_counts>> proxy_latencies;
     /** Thresholds in milliseconds from these latencies, by route. */
     std::map<std::string, double> domain_thresholds;
     /** Sums over each failure domain. */
     move_evidence domain_sums;
+    /** Sums by instance over each failure domain. */
+    move_evidence domain_upstream_sums;
     /** Steady time of the last evidence received from each other failure domain. */
     std::map<std::string, time_ms> last_domain_reports;
     move_history history;
@@ -69,6 +79,8 @@
     /** Steady time of the last report of evidence. */
     time_ms reported_at = 0;
     std::string hold_reason;
+    /** Steady time at which this daemon last logged the counts behind its decisions. */
+    time_ms evidence_logged_at = 0;
 };
 
 /** Running and watched moves of this daemon by id. */
@@ -83,6 +95,8 @@
     std::string_view service;
     std::string_view route;
     std::string_view version;
+    /** Instance that ran the attempt; empty if the caller's daemon does not know it. */
+    std::string_view instance;
     run_outcome outcome = run_outcome::unknown;
     int status = 0;
     time_ms elapsed = 0;
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -325,6 +325,7 @@
     record_attempt_evidence(self, {.service = call.service,
                                    .route = call.route,
                                    .version = attempt.version,
+                                   .instance = attempt.instance,
                                    .outcome = report.outcome,
                                    .status = status,
                                    .elapsed = report.upstream_time,
@@ -349,6 +350,7 @@
         record_running_attempt(self, {.service = call.service,
                                       .route = call.route,
                                       .version = attempt.version,
+                                      .instance = attempt.instance,
                                       .elapsed = now - attempt.offered_at - wait});
 }
 
