Tell callers a shorter time while the coordinator has no support

Refusals during a start named 5 s, although tokens came after 2.5 s. The time is 1 s now where it is not known.

--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -34,6 +34,8 @@
 constexpr double min_credit_limit = 2;
 constexpr time_ms min_more_in_ms = 50;
 constexpr time_ms max_more_in_ms = 5000;
+// Without support, the time until there are tokens is not known.
+constexpr time_ms more_in_without_support_ms = 1000;
 
 bool is_limited(const organisation& value)
 {
@@ -158,12 +160,17 @@
     return std::max(bucket.level - room * scarce_part, std::min(holding.credit, bucket.level));
 }
 
-time_ms time_until_more(const usage_bucket& bucket, const usage_holding& holding, double rate)
+time_ms time_until_more(const usage_bucket& bucket, const usage_holding& holding,
+                        double refill_per_s)
 {
-    const double share = std::max(holding.demand, min_demand) / std::max(bucket.demand, min_demand);
+    if (refill_per_s <= 0)
+    {
+        return more_in_without_support_ms;
+    }
+    const double share =
+        std::min(1.0, std::max(holding.demand, min_demand) / std::max(bucket.demand, min_demand));
     const double missing = std::max(0.0, 1 - holding.credit);
-    const double wait_ms =
-        rate > 0 ? missing / (rate * std::min(share, 1.0)) * ms_per_second : max_more_in_ms;
+    const double wait_ms = missing / (refill_per_s * share) * ms_per_second;
     return static_cast<time_ms>(
         std::clamp<double>(std::ceil(wait_ms), min_more_in_ms, max_more_in_ms));
 }
@@ -187,7 +194,8 @@
     if (bucket.held > room)
     {
         kept = std::min(kept, static_cast<int>(claim.held * room / bucket.held));
-        return {.tokens = kept, .more_in = time_until_more(bucket, holding, limit.rate_per_s)};
+        return {.tokens = kept,
+                .more_in = time_until_more(bucket, holding, limit.rate_per_s * support)};
     }
     const int missing = std::max(0, claim.wanted - claim.held);
     const double refill_per_s = limit.rate_per_s * support;
--- a/test/usage-process-test.cpp
+++ b/test/usage-process-test.cpp
@@ -120,6 +120,7 @@
     void cut_all()
     {
         std::vector<rig::relay_rule> rules;
+        rules.reserve(this->daemons.size());
         for (const auto& daemon : this->daemons)
         {
             rules.push_back({.target = daemon->id, .action = rig::relay_action::hold});
--- a/test/usage-test.cpp
+++ b/test/usage-test.cpp
@@ -781,8 +781,9 @@
     system.daemons[2].demand["north"] = many;
     system.run_for(10'000);
     const std::vector<int> before{system.daemons[1].ran, system.daemons[2].ran};
-    constexpr int seconds = 60;
-    system.run_for(seconds * 1000);
+    constexpr time_ms time = 60'000;
+    constexpr double seconds = 60;
+    system.run_for(time);
     const double of_few = (system.daemons[1].ran - before[0]) / (few * seconds);
     const double of_many = (system.daemons[2].ran - before[1]) / (many * seconds);
     BOOST_TEST_MESSAGE("served: " << of_few << " of the few calls, " << of_many << " of the many");
@@ -822,7 +823,8 @@
         const int places = 1 + i % 2;
         for (int k = 0; k < places && i < 10; ++k)
         {
-            system.daemons[static_cast<std::size_t>(3 * i + k)].demand[name] = 8 * use / places;
+            system.daemons.at(3 * static_cast<std::size_t>(i) + static_cast<std::size_t>(k))
+                .demand[name] = 8 * use / places;
         }
     }
     for (simulated_daemon& daemon : system.daemons)
@@ -845,7 +847,7 @@
             {
                 for (int call = 0; call < 6 && (second * 4 + part + i) % 5 == 0; ++call)
                 {
-                    system.arrive(system.daemons[static_cast<std::size_t>(40 + i)],
+                    system.arrive(system.daemons.at(40 + static_cast<std::size_t>(i)),
                                   "small-" + std::to_string(i));
                 }
             }
