--- a/test/membership-test.cpp
+++ b/test/membership-test.cpp
@@ -202,6 +202,27 @@
     BOOST_TEST(!merge_member(own, sample.claim, 8).refutation_due);
 }
 
+// Guards against usage limits that count a daemon that has left as one that may be cut off.
+BOOST_AUTO_TEST_CASE(departure_is_remembered_until_the_next_incarnation)
+{
+    member_table table{.self_id = "a"};
+    member_record record = make_record("b");
+    merge_member(table, record, 1);
+    BOOST_TEST(find_member(table, "b")->left_at == 0);
+    record.state = member_state::leaving;
+    merge_member(table, record, 2);
+    record.state = member_state::dead;
+    merge_member(table, record, 3);
+    BOOST_TEST(find_member(table, "b")->left_at == 2);
+    ++record.incarnation;
+    record.state = member_state::alive;
+    merge_member(table, record, 4);
+    BOOST_TEST(find_member(table, "b")->left_at == 0);
+    record.state = member_state::dead;
+    merge_member(table, record, 5);
+    BOOST_TEST(find_member(table, "b")->left_at == 0);
+}
+
 // Guards against a first own record that peers ignore because a claim with a higher version arrived
 // before it was published.
 BOOST_AUTO_TEST_CASE(claims_before_the_first_record_are_exceeded)
--- a/test/usage-process-test.cpp
+++ b/test/usage-process-test.cpp
@@ -101,6 +101,7 @@
             }
         }
         std::vector<time_ms> times;
+        times.reserve(first.size());
         for (const auto& [id, at] : first)
         {
             times.push_back(at);
