--- a/test/usage-process-test.cpp
+++ b/test/usage-process-test.cpp
@@ -101,6 +101,7 @@
             }
         }
         std::vector<time_ms> times;
+        times.reserve(first.size());
         for (const auto& [id, at] : first)
         {
             times.push_back(at);
@@ -120,6 +121,7 @@
     void cut_all()
     {
         std::vector<rig::relay_rule> rules;
+        rules.reserve(this->daemons.size());
         for (const auto& daemon : this->daemons)
         {
             rules.push_back({.target = daemon->id, .action = rig::relay_action::hold});
