Read a request that arrives in very small pieces at intervals

Cause: each piece of a request cost a read and a parse, so a thousand clients that send single bytes took up the processor time of a small VM.

Change: a request that arrives in more than 32 pieces of less than 256 bytes is read every 100 ms only.

--- a/src/pipelined_connection.hpp
+++ b/src/pipelined_connection.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace sardinepoint
 {
@@ -61,6 +62,10 @@
     time_ms linger_started = 0;
     std::string output;
     std::size_t sent = 0;
+    /** Consecutive small reads that completed no request. */
+    int small_reads = 0;
+    /** Not read until the next timer, because it sends in very small pieces. */
+    bool throttled = false;
     /** Parsing goes on in the next iteration of the event loop. */
     bool parse_scheduled = false;
     /** Turn requested for a large output. */
@@ -98,6 +103,9 @@
     std::uint64_t last_connection = 0;
     bool closing = false;
     timer_id sweep_timer;
+    /** Throttled connections and the timer after which they are read again. */
+    std::vector<std::uint64_t> throttled;
+    std::optional<timer_id> throttle_timer;
     intake::gate_handle gate;
     /** Rejections since the last log line about them, and its time. */
     std::uint64_t rejections = 0;
@@ -140,6 +148,10 @@
 /** Goes on with parsing that was scheduled. May destroy the connection. */
 void resume_parsing(pipelined_server& server, std::uint64_t id);
 
+/** Stops reading a connection for a short time if it sends a request in very small pieces. */
+void throttle_small_reads(pipelined_server& server, caller_connection& connection,
+                          std::size_t read_bytes);
+
 /** Watches the connection for what it waits for. */
 void update_watch(pipelined_server& server, caller_connection& connection);
 
--- a/src/pipelined_input.cpp
+++ b/src/pipelined_input.cpp
@@ -22,6 +22,11 @@
 
 // Requests of one connection that are started before other descriptors are served.
 constexpr int max_requests_per_turn = 16;
+// A request that arrives in more pieces of less than this size is read at intervals: a thousand
+// clients that send single bytes would otherwise take up the processor time of a small VM.
+constexpr std::size_t small_read_bytes = 256;
+constexpr int max_small_reads = 32;
+constexpr time_ms throttle_ms = 100;
 constexpr time_ms log_interval_ms = 1000;
 constexpr int overloaded_status = 503;
 
@@ -185,6 +190,7 @@
                    exchange_overhead_bytes + connection.head_bytes * field_factor +
                        request.body.capacity());
     connection.head_bytes = 0;
+    connection.small_reads = 0;
     if (!keep_alive)
     {
         connection.draining = true;
@@ -255,4 +261,41 @@
     }
 }
 
+namespace
+{
+
+void read_throttled_connections(pipelined_server& server)
+{
+    server.throttle_timer.reset();
+    for (const std::uint64_t id : std::exchange(server.throttled, {}))
+    {
+        if (caller_connection* connection = find_connection(server, id))
+        {
+            connection->throttled = false;
+            update_watch(server, *connection);
+        }
+    }
+}
+
+} // namespace
+
+void throttle_small_reads(pipelined_server& server, caller_connection& connection,
+                          std::size_t read_bytes)
+{
+    const bool small = read_bytes < small_read_bytes && connection.parser;
+    connection.small_reads = small ? connection.small_reads + 1 : 0;
+    if (server.gate.gate == nullptr || connection.small_reads <= max_small_reads)
+    {
+        return;
+    }
+    connection.throttled = true;
+    server.throttled.push_back(connection.id);
+    update_watch(server, connection);
+    if (!server.throttle_timer)
+    {
+        server.throttle_timer =
+            run_after(*server.loop, throttle_ms, [&server] { read_throttled_connections(server); });
+    }
+}
+
 } // namespace sardinepoint::detail
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -104,7 +104,9 @@
         // A half-close counts as a disconnect, since no supported caller waits for a response after
         // it has shut down its sending side.
         record_input(server, *connection);
+        const std::size_t buffered = connection->input.size();
         const read_state state = read_input(*connection);
+        const std::size_t read_bytes = connection->input.size() - buffered;
         if (state == read_state::closed || has_disconnected(*connection))
         {
             drop_connection(server, id);
@@ -114,6 +116,11 @@
         if (state == read_state::data && !connection->draining && !connection->parse_scheduled)
         {
             parse_input(server, id);
+            connection = find_connection(server, id);
+            if (connection != nullptr)
+            {
+                throttle_small_reads(server, *connection, read_bytes);
+            }
             return;
         }
     }
@@ -132,7 +139,8 @@
 {
     // A connection with a full pipeline is still read, so that a disconnect is detected. Reading
     // pauses when the next head has arrived, as its body would be held without being used.
-    const bool input_full = !connection.draining && has_unusable_input(server, connection);
+    const bool input_full =
+        connection.throttled || (!connection.draining && has_unusable_input(server, connection));
     const bool wants_write = !connection.output.empty() && !is_awaiting_turn(server, connection);
     const io_interest interest{.read = !input_full, .write = wants_write};
     watch_fd(*server.loop, connection.fd, interest,
@@ -385,6 +393,10 @@
 {
     server->callbacks = {};
     cancel_timer(*server->loop, server->sweep_timer);
+    if (server->throttle_timer)
+    {
+        cancel_timer(*server->loop, *server->throttle_timer);
+    }
     intake::unregister_listener(server->gate);
     while (!server->connections.empty())
     {
--- a/test/intake-fuzz-test.cpp
+++ b/test/intake-fuzz-test.cpp
@@ -299,6 +299,33 @@
     BOOST_TEST(target.gate.budget.connections.empty());
 }
 
+// Guards against a caller on a bad network that is throttled and then forgotten.
+BOOST_AUTO_TEST_CASE(request_in_single_bytes_is_answered)
+{
+    echo_server target;
+    const int fd = connect_to(bound_port(*target.server));
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x');
+    std::size_t sent = 0;
+    std::string received;
+    rig::run_until(*target.loop, answer_limit_ms,
+                   [&]
+                   {
+                       if (sent < request.size() &&
+                           ::send(fd, &request[sent], 1, MSG_NOSIGNAL | MSG_DONTWAIT) == 1)
+                       {
+                           ++sent;
+                       }
+                       std::array<char, 1024> buffer{};
+                       const ssize_t got = ::recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+                       received.append(buffer.data(),
+                                       static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+                       return received.ends_with("xxx");
+                   });
+    ::close(fd);
+    BOOST_TEST(received.starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against messages of peers and operators that end a daemon.
 BOOST_DATA_TEST_CASE(random_messages_leave_the_daemon_working, boost::unit_test::data::make(seeds),
                      seed)
