--- a/src/usage/usage.cpp
+++ b/src/usage/usage.cpp
@@ -117,11 +117,15 @@
     }
     count(self.stats, "usage_refused{reason=\"limit\"}");
     const time_ms more_in = time_until_tokens(wallet, organisation, now);
+    const auto& organisations = self.config_replica.state.organisations;
+    const auto found = organisations.find(std::string(organisation));
+    const double rate = found == organisations.end() ? 0 : found->second.rate_per_s;
+    const double burst = found == organisations.end() ? 0 : found->second.burst;
     return {.reason =
-                fmt::format("the usage limit of organisation '{}' is reached; the coordinator "
-                            "'{}', with the support of {}% of the daemons, answered {} ms ago "
-                            "and expects tokens in {} ms",
-                            organisation, wallet.coordinator, wallet.support_percent,
+                fmt::format("the usage limit of organisation '{}', {} calls/s and {} at once, is "
+                            "reached; the coordinator '{}', with the support of {}% of the "
+                            "daemons, answered {} ms ago and expects tokens in {} ms",
+                            organisation, rate, burst, wallet.coordinator, wallet.support_percent,
                             now - wallet.answered_at, more_in),
             .retry_after = more_in > 0 ? more_in : silent_coordinator_retry_after_ms};
 }
