--- a/support/load_model.cpp
+++ b/support/load_model.cpp
@@ -115,6 +115,15 @@
     print_metric("put_behind",
                  [](const run_metrics& metrics) { return metrics.priority_inversion; });
     print_metric("failed_inner", [](const run_metrics& metrics) { return metrics.failed_inner; });
+    fmt::print("\n ");
+    print_metric("p99_ms", [](const run_metrics& metrics) { return metrics.p99_ms; });
+    const auto print_percent = [&](std::string_view name, double run_metrics::*field)
+    {
+        print_metric(name, [&](const run_metrics& metrics) { return 100 * (metrics.*field); });
+    };
+    print_percent("late_percent", &run_metrics::late);
+    print_percent("hedges_percent", &run_metrics::hedges);
+    print_percent("extra_work_percent", &run_metrics::extra_work);
     fmt::print("\n");
     for (std::size_t route = 0; route < plan.routes.size(); ++route)
     {
@@ -243,6 +252,19 @@
         {
             second_metrics = run_all_seeds(*plan, *second, seeds);
             print_figures(*plan, "second", second_metrics);
+            const auto print_change = [&](std::string_view name, double run_metrics::*field)
+            {
+                std::vector<double> changes;
+                for (std::size_t i = 0; i < first_metrics.size(); ++i)
+                {
+                    changes.push_back(second_metrics[i].*field - first_metrics[i].*field);
+                }
+                const estimate change = estimate_mean(changes);
+                fmt::print("{} change of {}: {:.4f}±{:.4f} (95%, {} seeds)\n", plan->name, name,
+                           change.mean, change.half_width, seeds);
+            };
+            print_change("p99_ms", &run_metrics::p99_ms);
+            print_change("late", &run_metrics::late);
             std::vector<double> gains;
             for (std::size_t i = 0; i < first_metrics.size(); ++i)
             {
--- a/support/model/load_figures.cpp
+++ b/support/model/load_figures.cpp
@@ -100,6 +100,22 @@
     {
         result.worst_seconds += second_fractions[i] / static_cast<double>(count);
     }
+    std::vector<double> latencies = totals.latencies;
+    if (!latencies.empty())
+    {
+        const auto rank = static_cast<std::ptrdiff_t>(0.99 * static_cast<double>(latencies.size()));
+        std::nth_element(latencies.begin(), latencies.begin() + rank, latencies.end());
+        result.p99_ms = latencies[static_cast<std::size_t>(rank)];
+    }
+    double late = 0;
+    for (std::size_t i = 0; i < plan.routes.size(); ++i)
+    {
+        late += plan.routes[i].utility > 0 ? totals.routes[i].late : 0;
+    }
+    result.late = calls > 0 ? late / calls : 0;
+    result.hedges = totals.calls > 0 ? static_cast<double>(totals.hedges) / totals.calls : 0;
+    const double used_ms = totals.slot_ms - totals.lost_slot_ms;
+    result.extra_work = used_ms > 0 ? totals.lost_slot_ms / used_ms : 0;
     result.worst_locality = 1;
     for (const utility_totals& locality : totals.localities)
     {
--- a/support/model/load_figures.hpp
+++ b/support/model/load_figures.hpp
@@ -18,6 +18,14 @@
     /** Penalties, in units of utility. */
     double refused_again = 0;
     double failed_inner = 0;
+    /** Times from the callers' first attempts to their answers. */
+    std::vector<double> latencies;
+    /** Calls of callers and upstreams without retries, and their second attempts. */
+    int calls = 0;
+    int hedges = 0;
+    /** Slot time of all attempts, and of those whose results were not used. */
+    double slot_ms = 0;
+    double lost_slot_ms = 0;
 };
 
 /** Computes the fractions of the offered utility that were achieved, the penalties and the weighted
--- a/support/model/load_model.cpp
+++ b/support/model/load_model.cpp
@@ -1,11 +1,14 @@
 #include "model/load_figures.hpp"
 
+#include "sardinepoint/retry_ledger.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <limits>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <random>
 #include <tuple>
@@ -30,6 +33,8 @@
 constexpr double min_retry_after_ms = 40;
 constexpr double max_retry_wait_fraction = 1.0 / 3;
 constexpr double tick_ms = 50;
+// Upstreams that may receive a call, as with the daemon's default for routes.
+constexpr int max_arrivals = 2;
 // Time for a changed record of an upstream to reach all daemons.
 constexpr double record_delay_ms = 300;
 // Penalties, as fractions of the utility of the call concerned.
@@ -55,6 +60,8 @@
     advertised_service_time advertised;
     /** What the daemon of the same VM knows of the upstreams of each service. */
     std::vector<std::vector<instance_view>> views;
+    sardinepoint::hedge_state hedging;
+    sardinepoint::retry_counts retries;
 };
 
 struct simulated_call;
@@ -77,6 +84,15 @@
     int pending_inner_calls = 0;
     double work_left = 0;
     result_callback done;
+    /** When the current attempt was sent. */
+    double offered_at = 0;
+    int arrivals = 0;
+    /** The attempt was cancelled or its result is of no use any more. */
+    bool cancelled = false;
+    /** The second attempt in progress, and the call that a second attempt belongs to. */
+    std::shared_ptr<simulated_call> hedge;
+    std::shared_ptr<simulated_call> hedged;
+    bool is_hedge = false;
 };
 
 /** A caller's request, over all its attempts. */
@@ -115,6 +131,10 @@
     void make_inner_calls(const std::shared_ptr<simulated_call>& call);
     void finish_run(const std::shared_ptr<simulated_call>& call, call_result result);
     void refuse(const std::shared_ptr<simulated_call>& call);
+    void schedule_hedge(const std::shared_ptr<simulated_call>& call);
+    void hedge(const std::shared_ptr<simulated_call>& call);
+    void end_attempt(const std::shared_ptr<simulated_call>& call, call_result result);
+    void cancel(const std::shared_ptr<simulated_call>& call);
     void notify_daemon(const std::shared_ptr<simulated_call>& call, action next);
     void refuse_calls(const std::vector<std::uint64_t>& ids);
     void advertise_service_time(std::size_t index);
@@ -188,6 +208,7 @@
                                 setup.speeds[static_cast<std::size_t>(i) % setup.speeds.size()]};
             server.queue.slots = setup.slots;
             server.queue.options = this->evaluated_policy.admission;
+            server.hedging.options = this->evaluated_policy.hedging;
             this->upstreams_by_service.back().push_back(this->upstreams.size());
             this->upstreams.push_back(std::move(server));
         }
@@ -311,6 +332,7 @@
     const double deadline = client->first_attempt_at + static_cast<double>(route.deadline);
     if (result == call_result::answered && response_at <= deadline)
     {
+        this->totals.latencies.push_back(response_at - client->first_attempt_at);
         this->record_result(*client, result,
                             response_at > client->first_attempt_at +
                                               static_cast<double>(route.latency_target));
@@ -386,14 +408,23 @@
             : std::nullopt;
     if (!chosen)
     {
+        call->cancelled = true;
         call->done(call_result::refused);
         return;
     }
     instance_view& view = daemon.views[service][chosen->index];
     sardinepoint::record_sent(view);
+    if (call->offers == 0)
+    {
+        sardinepoint::record_call(daemon.retries, this->plan.services[service].name, 0, {},
+                                  this->now_ms());
+        ++this->totals.calls;
+    }
     ++call->offers;
+    call->offered_at = this->now;
     call->tried.push_back(view.instance);
     call->target = this->upstreams_by_service[service][chosen->index];
+    this->schedule_hedge(call);
     this->schedule(this->delay_between(call->daemon, call->target),
                    [this, call] { this->admit_call(call); });
 }
@@ -402,7 +433,8 @@
 {
     upstream& server = this->upstreams[call->target];
     const route_load& route = this->plan.routes[call->route];
-    if (this->now < server.unavailable_until)
+    const bool no_slot = call->is_hedge && !sardinepoint::has_free_slot(server.queue);
+    if (this->now < server.unavailable_until || no_slot)
     {
         this->refuse(call);
         return;
@@ -451,6 +483,11 @@
         this->delay_between(call->daemon, call->target),
         [this, call, report, target = call->target, next = std::move(next)]
         {
+            // The daemon has closed the connection of a cancelled attempt.
+            if (call->cancelled)
+            {
+                return;
+            }
             const std::size_t service = this->upstreams[target].service;
             instance_view& view =
                 this->upstreams[call->daemon]
@@ -463,7 +500,167 @@
 
 void simulation::refuse(const std::shared_ptr<simulated_call>& call)
 {
-    this->notify_daemon(call, [this, call] { this->offer(call); });
+    this->notify_daemon(call,
+                        [this, call]
+                        {
+                            sardinepoint::record_capacity_refusal(
+                                this->upstreams[call->daemon].hedging,
+                                this->plan.services[this->service_by_route[call->route]].name,
+                                this->now_ms());
+                            if (call->is_hedge || call->hedge)
+                            {
+                                this->end_attempt(call, call_result::refused);
+                                return;
+                            }
+                            this->offer(call);
+                        });
+}
+
+void simulation::schedule_hedge(const std::shared_ptr<simulated_call>& call)
+{
+    const route_load& route = this->plan.routes[call->route];
+    const auto delay =
+        sardinepoint::hedge_delay(this->upstreams[call->daemon].hedging, route.name, 0);
+    if (!delay || !route.idempotent)
+    {
+        return;
+    }
+    this->schedule(static_cast<double>(*delay),
+                   [this, call, offers = call->offers]
+                   {
+                       if (!call->cancelled && call->offers == offers)
+                       {
+                           this->hedge(call);
+                       }
+                   });
+}
+
+/** Sends a second attempt of a call whose attempt in progress is slow, as the daemon does. */
+void simulation::hedge(const std::shared_ptr<simulated_call>& call)
+{
+    const route_load& route = this->plan.routes[call->route];
+    const std::size_t service = this->service_by_route[call->route];
+    const std::string& service_name = this->plan.services[service].name;
+    upstream& daemon = this->upstreams[call->daemon];
+    std::vector<instance_view>& views = daemon.views[service];
+    sardinepoint::record_overdue(daemon.hedging, route.name, true);
+    const sardinepoint::placement_options& options = this->evaluated_policy.placement;
+    const std::string_view refusal = sardinepoint::hedge_refusal(
+        daemon.hedging,
+        {.route = route.name,
+         .service = service_name,
+         .is_idempotent = true,
+         .arrivals = call->arrivals + 1,
+         .max_arrivals = max_arrivals,
+         .load = sardinepoint::reported_load(views, options, this->now_ms())},
+        this->now_ms());
+    if (!refusal.empty())
+    {
+        return;
+    }
+    std::vector<std::size_t> eligible(views.size());
+    std::iota(eligible.begin(), eligible.end(), 0);
+    const std::vector<std::size_t> candidates =
+        sardinepoint::hedge_candidates(views, eligible, call->tried, options, this->now_ms());
+    const std::string member = "vm-" + std::to_string(call->daemon);
+    const std::string locality = std::to_string(daemon.locality);
+    const auto chosen = sardinepoint::place_call(
+        views,
+        {.own_member = member, .locality = locality, .tried = call->tried, .eligible = candidates},
+        options, this->now_ms(), this->random);
+    const auto time_left = static_cast<time_ms>(call->deadline - this->now);
+    if (!chosen ||
+        !sardinepoint::has_time_for_hedge(daemon.hedging, route.name, time_left,
+                                          chosen->known_service_time) ||
+        !sardinepoint::take_hedge(daemon.retries, service_name, {}, daemon.hedging.options.ratio,
+                                  this->upstreams.size(), this->now_ms()))
+    {
+        return;
+    }
+    instance_view& view = views[chosen->index];
+    sardinepoint::record_sent(view);
+    call->tried.push_back(view.instance);
+    ++this->totals.hedges;
+    auto second = std::make_shared<simulated_call>();
+    second->id = ++this->last_id;
+    second->route = call->route;
+    second->daemon = call->daemon;
+    second->latency_target_at = call->latency_target_at;
+    second->deadline = call->deadline;
+    second->parent_priority = call->parent_priority;
+    second->target = this->upstreams_by_service[service][chosen->index];
+    second->offered_at = this->now;
+    second->is_hedge = true;
+    second->hedged = call;
+    call->hedge = second;
+    this->schedule(this->delay_between(call->daemon, second->target),
+                   [this, second] { this->admit_call(second); });
+}
+
+/** Ends an attempt at the daemon that sent it: the first answer of a call's attempts wins. */
+void simulation::end_attempt(const std::shared_ptr<simulated_call>& call, call_result result)
+{
+    const std::shared_ptr<simulated_call> first = call->is_hedge ? call->hedged : call;
+    const std::shared_ptr<simulated_call> other = call->is_hedge ? first : call->hedge;
+    sardinepoint::hedge_state& hedging = this->upstreams[first->daemon].hedging;
+    const std::string& route = this->plan.routes[first->route].name;
+    if (result == call_result::answered)
+    {
+        if (!first->hedge && !call->is_hedge)
+        {
+            const auto delay = sardinepoint::hedge_delay(hedging, route, 0);
+            if (delay && this->now - call->offered_at <= static_cast<double>(*delay))
+            {
+                sardinepoint::record_overdue(hedging, route, false);
+            }
+        }
+        sardinepoint::record_attempt_latency(hedging, route, this->now - first->offered_at,
+                                             this->now_ms());
+    }
+    call->cancelled = true;
+    if (other && !other->cancelled)
+    {
+        // A failed attempt changes nothing for the other one.
+        if (result != call_result::answered)
+        {
+            first->hedge = call->is_hedge ? nullptr : first->hedge;
+            first->arrivals += result == call_result::failed ? 1 : 0;
+            return;
+        }
+        this->cancel(other);
+    }
+    first->hedge = nullptr;
+    if (call->is_hedge && result == call_result::refused)
+    {
+        first->cancelled = false;
+        this->offer(first);
+        return;
+    }
+    first->done(result);
+}
+
+/** Cancels an attempt, which frees its slot or its place in the queue one delay later. */
+void simulation::cancel(const std::shared_ptr<simulated_call>& call)
+{
+    call->cancelled = true;
+    const std::size_t service = this->service_by_route[call->route];
+    sardinepoint::record_ended(
+        this->upstreams[call->daemon]
+            .views[service][call->target - this->upstreams_by_service[service].front()]);
+    this->schedule(this->delay_between(call->daemon, call->target),
+                   [this, call]
+                   {
+                       if (call->holds_slot)
+                       {
+                           this->totals.lost_slot_ms += this->now - call->started;
+                           this->finish_run(call, call_result::failed);
+                       }
+                       else if (this->queued.erase(call->id) > 0)
+                       {
+                           sardinepoint::remove_waiting(this->upstreams[call->target].queue,
+                                                        call->id);
+                       }
+                   });
 }
 
 double simulation::sample_work(const route_load& route)
@@ -570,6 +767,7 @@
 void simulation::finish_run(const std::shared_ptr<simulated_call>& call, call_result result)
 {
     call->holds_slot = false;
+    this->totals.slot_ms += this->now - call->started;
     upstream& server = this->upstreams[call->target];
     const route_load& route = this->plan.routes[call->route];
     const release_result released = sardinepoint::release_slot(
@@ -587,7 +785,7 @@
             this->start(entry.mapped());
         }
     }
-    this->notify_daemon(call, [call, result] { call->done(result); });
+    this->notify_daemon(call, [this, call, result] { this->end_attempt(call, result); });
 }
 
 void simulation::advertise_service_time(std::size_t index)
--- a/support/model/load_model.hpp
+++ b/support/model/load_model.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hedging/hedge_policy.hpp"
 #include "model/load_scenario.hpp"
 
 #include "sardinepoint/admission.hpp"
@@ -27,6 +28,8 @@
     bool knows_first_attempt = true;
     /** Whether upstreams tell all daemons their service time. */
     bool advertises_service_time = true;
+    /** Hedging of idempotent calls; off with a ratio of 0. */
+    sardinepoint::hedge_options hedging;
 };
 
 /** Parses "key=number,key=number" on top of the defaults; empty text gives the defaults. */
@@ -76,6 +79,14 @@
     double failed_inner = 0;
     /** Weighted sum of the fractions minus the penalties. */
     double total = 0;
+    /** 99th percentile of the time from a caller's first attempt to its answer. */
+    double p99_ms = 0;
+    /** Fraction of the callers' calls that were answered after their latency target. */
+    double late = 0;
+    /** Second attempts as a fraction of the calls. */
+    double hedges = 0;
+    /** Slot time of attempts that lost, as a fraction of the other slot time. */
+    double extra_work = 0;
 };
 
 /** Simulates the scenario on a virtual clock. The same arguments give the same result. */
--- a/support/model/load_policy.cpp
+++ b/support/model/load_policy.cpp
@@ -61,6 +61,12 @@
         {"return_factor", field_setter(&policy::retry_wait_factor)},
         {"knows_first_attempt", field_setter(&policy::knows_first_attempt)},
         {"advertises_service_time", field_setter(&policy::advertises_service_time)},
+        {"hedge_ratio", field_setter(&policy::hedging, &sardinepoint::hedge_options::ratio)},
+        {"hedge_percentile",
+         field_setter(&policy::hedging, &sardinepoint::hedge_options::percentile)},
+        {"hedge_max_load", field_setter(&policy::hedging, &sardinepoint::hedge_options::max_load)},
+        {"hedge_refusal_pause",
+         field_setter(&policy::hedging, &sardinepoint::hedge_options::refusal_pause)},
         {"similar_wait_weight",
          field_setter(&policy::placement, &placement_options::similar_wait_weight)},
     };
--- a/support/model/load_scenario.cpp
+++ b/support/model/load_scenario.cpp
@@ -62,6 +62,7 @@
     out.late_utility = reader.number_or("late_worth", 0, 0, max_number);
     out.priority = static_cast<int>(reader.integer_or("priority", 1, 0, 100));
     out.retries = static_cast<int>(reader.integer_or("retries", 0, 0, 10));
+    out.idempotent = reader.boolean_or("idempotent", true);
     if (reader.has("calls"))
     {
         for (const json& inner : reader.array("calls"))
--- a/support/model/load_scenario.hpp
+++ b/support/model/load_scenario.hpp
@@ -42,6 +42,8 @@
     int priority = 1;
     /** Retries of a refused caller. */
     int retries = 1;
+    /** Whether calls may run twice. */
+    bool idempotent = true;
     std::vector<inner_calls> calls;
 };
 
--- a/support/rig/fleet.cpp
+++ b/support/rig/fleet.cpp
@@ -144,7 +144,8 @@
          << "\nannouncements = " << to_string(daemon.announcements)
          << "\nupstream = " << to_string(daemon.upstream->address)
          << "\nservice = " << daemon.upstream->service << "\nlocality = zone-a"
-         << "\nannounce_interval = " << announce_interval_ms << "ms\n";
+         << "\nannounce_interval = " << announce_interval_ms << "ms\n"
+         << self.sidecar_settings;
 }
 
 json route_json(const std::string& name, const std::string& prefix, const std::string& kind,
--- a/support/rig/fleet.hpp
+++ b/support/rig/fleet.hpp
@@ -109,6 +109,8 @@
      * time for its response. */
     time_ms store_poll_wait = 500;
     time_ms store_timeout = 300;
+    /** Lines added to the section [sidecar] in the settings of daemons added later. */
+    std::string sidecar_settings;
     /** Address of the store for daemons added later; empty for its own. */
     std::optional<endpoint> relayed_store;
     /** Keeps logs and settings at the end, like the environment variable KEEP_RIG. */
--- a/test/load-model-test.cpp
+++ b/test/load-model-test.cpp
@@ -3,6 +3,7 @@
 
 #include "model/load_model.hpp"
 
+#include <cmath>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -137,6 +138,77 @@
     BOOST_TEST(late(now) < late(before));
 }
 
+// Guards against calls that hedging counts twice or loses, and against hedges beyond the ratio.
+BOOST_AUTO_TEST_CASE(hedged_calls_are_counted_once)
+{
+    const policy hedging = make_policy("hedge_ratio=0.03,hedge_percentile=0.9");
+    for (const char* name : {"calm.json", "slow_upstreams.json", "burst.json"})
+    {
+        const run_metrics metrics = run_scenario(load_scenario(name), hedging, 1);
+        for (const route_metrics& route : metrics.routes)
+        {
+            BOOST_TEST(route.within_latency_target + route.late + route.refused + route.failed ==
+                           route.calls,
+                       name << " " << route.name);
+        }
+        BOOST_TEST(metrics.hedges > 0);
+        BOOST_TEST(metrics.hedges <= 0.03);
+    }
+}
+
+// Guards against hedges that don't shorten the tail when some upstreams are slow.
+BOOST_AUTO_TEST_CASE(hedging_helps_with_slow_upstreams)
+{
+    const policy hedging = make_policy("hedge_ratio=0.05");
+    const scenario plan = load_scenario("slow_upstreams.json");
+    constexpr int seeds = 5;
+    double p99_change = 0;
+    double late_change = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        const run_metrics with = run_scenario(plan, hedging, seed);
+        const run_metrics without = run_scenario(plan, {}, seed);
+        p99_change += (with.p99_ms - without.p99_ms) / seeds;
+        late_change += (with.late - without.late) / seeds;
+        BOOST_TEST(with.served >= without.served - 0.001);
+    }
+    BOOST_TEST_MESSAGE("change of p99 " << p99_change << " ms, of late calls " << late_change);
+    BOOST_TEST(p99_change < 0);
+    BOOST_TEST(late_change < 0);
+}
+
+// Guards against hedges that take slots from other calls when slots are short: the 95% interval of
+// the change must not lie below 0, and there must be fewer hedges than in normal operation.
+BOOST_AUTO_TEST_CASE(hedging_does_no_harm_in_a_burst)
+{
+    const policy hedging = make_policy("hedge_ratio=0.05");
+    constexpr int seeds = 10;
+    // Two-sided 95% quantile of Student's t distribution with 9 degrees of freedom.
+    constexpr double t_quantile = 2.26;
+    const double calm_hedges = run_scenario(load_scenario("calm.json"), hedging, 1).hedges;
+    for (const char* name : {"burst.json", "short_of_room.json"})
+    {
+        const scenario plan = load_scenario(name);
+        double sum = 0;
+        double squares = 0;
+        double hedges = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        {
+            const run_metrics with = run_scenario(plan, hedging, seed);
+            const double change = with.total - run_scenario(plan, {}, seed).total;
+            sum += change;
+            squares += change * change;
+            hedges += with.hedges / seeds;
+        }
+        const double mean = sum / seeds;
+        const double deviation = std::sqrt((squares - sum * mean) / (seeds - 1) / seeds);
+        BOOST_TEST_MESSAGE(name << " change " << mean << " +- " << t_quantile * deviation
+                                << ", hedges " << hedges << ", calm " << calm_hedges);
+        BOOST_TEST(mean + t_quantile * deviation > 0);
+        BOOST_TEST(hedges < calm_hedges / 2);
+    }
+}
+
 // Guards against errors that don't name the invalid item, and against errors without a remedy.
 BOOST_AUTO_TEST_CASE(errors_name_the_invalid_input)
 {
