--- a/include/sardinepoint/retry_ledger.hpp
+++ b/include/sardinepoint/retry_ledger.hpp
@@ -30,10 +30,10 @@
     {
         std::int64_t number = -1;
         std::uint32_t calls = 0;
-        /** Fractional, since a call may count as a retry with some probability. */
-        double retries = 0;
         /** Hedges, which are counted as retries too. */
         std::uint32_t hedges = 0;
+        /** Fractional, since a call may count as a retry with some probability. */
+        double retries = 0;
     };
     std::array<bucket, window_buckets> buckets{};
 };
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -1,5 +1,6 @@
 #include "outbound.hpp"
 
+#include "hedging/hedged_calls.hpp"
 #include "inbound.hpp"
 #include "instance_choice.hpp"
 #include "move_runtime.hpp"
@@ -150,22 +151,6 @@
     }
 }
 
-void log_hedge(node& self, const outbound_call& call, const call_attempt& hedge,
-               std::string_view outcome, std::string_view reason = "")
-{
-    count(self.stats, "hedges{outcome=\"" + std::string(outcome) + "\"}");
-    log_event(log_level::info, "hedge",
-              {{"id", call.caller.id},
-               {"route", call.route},
-               {"service", call.service},
-               {"instance", hedge.instance},
-               {"first_instance", call.instance},
-               {"outcome", outcome},
-               {"delay_ms", hedge.offered_at - call.offered_at},
-               {"ms", steady_now() - hedge.offered_at},
-               {"reason", reason}});
-}
-
 void abort_hedge(node& self, outbound_call& call, std::string_view outcome)
 {
     if (call.hedge)
@@ -393,6 +378,11 @@
     return report.outcome != run_outcome::not_run || report.arrived;
 }
 
+bool is_capacity_refusal(const hop_report& report)
+{
+    return report.outcome == run_outcome::not_run && !report.gone;
+}
+
 /** Whether the result is a response that ends the call whatever other attempts return. */
 bool is_final(const inbound_result& result)
 {
@@ -408,28 +398,6 @@
     respond(self, call.id.value, std::move(result.response), "answered", result.report.reason);
 }
 
-/** Updates what decides on hedges after the call's last attempt has ended. */
-void record_for_hedging(node& self, outbound_call& call, const inbound_result& result,
-                        bool from_daemon)
-{
-    hedge_state& hedging = self.sidecar_state->hedging;
-    const time_ms now = steady_now();
-    if (is_final(result))
-    {
-        record_attempt_latency(hedging, call.route, static_cast<double>(now - call.offered_at),
-                               now);
-        if (call.hedge_timer)
-        {
-            record_overdue(hedging, call.route, false);
-        }
-    }
-    else if (from_daemon && result.report.outcome == run_outcome::not_run && !result.report.gone)
-    {
-        record_capacity_refusal(hedging, call.service, now);
-    }
-    cancel_hedge_timer(self, call);
-}
-
 void finish_hedge(node& self, outbound_call& call, inbound_result result, bool from_daemon)
 {
     call_attempt hedge = *std::exchange(call.hedge, std::nullopt);
@@ -444,16 +412,14 @@
         const bool refused = report.outcome == run_outcome::not_run;
         log_hedge(self, call, hedge, refused ? "refused" : "failed", report.reason);
         call.may_have_run = call.may_have_run || !refused;
-        if (from_daemon && refused && !report.gone)
+        if (from_daemon && is_capacity_refusal(report))
         {
             record_capacity_refusal(self.sidecar_state->hedging, call.service, steady_now());
         }
         return;
     }
     log_hedge(self, call, hedge, "won");
-    const time_ms now = steady_now();
-    record_attempt_latency(self.sidecar_state->hedging, call.route,
-                           static_cast<double>(now - call.offered_at), now);
+    record_first_attempt(self, call, true, false);
     record_if_slow(self, call, call);
     abort_attempt(self, call, call);
     ++call.arrivals;
@@ -478,7 +444,8 @@
     call->inbound.reset();
     const hop_report& report = result.report;
     record_attempt(self, *call, *call, report, result.response.status, from_daemon);
-    record_for_hedging(self, *call, result, from_daemon);
+    record_first_attempt(self, *call, is_final(result), from_daemon && is_capacity_refusal(report));
+    cancel_hedge_timer(self, *call);
     call->last_reason = report.reason;
     const bool arrived = has_arrived(report);
     call->arrivals += arrived ? 1 : 0;
@@ -620,57 +587,32 @@
 /** Reason not to hedge the call's slow attempt; empty after a hedge was sent. */
 std::string_view try_hedge(node& self, outbound_call& call)
 {
-    const time_ms now = steady_now();
-    const placement_options& options = self.sidecar_state->placement_params;
-    const hedge_state& hedging = self.sidecar_state->hedging;
-    instance_group& group = instances_of(self, call.service);
-    record_own_queue_report(self, call.service);
-    const std::string_view refusal =
-        hedge_refusal(hedging,
-                      {.route = call.route,
-                       .service = call.service,
-                       .is_idempotent = call.idempotent,
-                       .is_quarantined = is_quarantined_call(self, call),
-                       .shutting_down = self.leaving,
-                       .arrivals = call.arrivals + 1,
-                       .max_arrivals = max_arrivals(call),
-                       .load = reported_load(group.views, options, now)},
-                      now);
-    if (!refusal.empty())
-    {
-        return refusal;
-    }
     if (!is_permitted(self, call))
     {
         return "not_permitted";
     }
-    const auto chosen = choose_hedge_instance(self, call, group);
-    if (!chosen)
-    {
-        return "no_instance";
-    }
-    if (!has_time_for_hedge(hedging, call.route, time_left(call) - min_time_left_ms,
-                            chosen->known_service_time))
-    {
-        return "time";
-    }
-    if (!take_hedge(self.sidecar_state->retry_counts_by_service, call.service,
-                    self.sidecar_state->retry_bounds, hedging.options.ratio,
-                    live_daemon_count(self), now))
+    instance_group& group = instances_of(self, call.service);
+    record_own_queue_report(self, call.service);
+    const hedge_choice choice = choose_hedge(self, call, group,
+                                             {.time_left = time_left(call) - min_time_left_ms,
+                                              .max_arrivals = max_arrivals(call),
+                                              .is_quarantined = is_quarantined_call(self, call),
+                                              .daemons = live_daemon_count(self)});
+    if (!choice.refusal.empty())
     {
-        return "budget";
+        return choice.refusal;
     }
-    instance_view& view = group.views[chosen->index];
+    instance_view& view = group.views[choice.chosen.index];
     call.hedge = {.member = view.member,
                   .instance = view.instance,
                   .version = view.version,
-                  .offered_at = now,
-                  .report_age = chosen->report_age,
-                  .known_service_time = chosen->known_service_time,
-                  .expected_wait = chosen->wait};
+                  .offered_at = steady_now(),
+                  .report_age = choice.chosen.report_age,
+                  .known_service_time = choice.chosen.known_service_time,
+                  .expected_wait = choice.chosen.wait};
     call.tried.push_back(view.instance);
     record_sent(view);
-    send_offer(self, call, *call.hedge, group.daemons[chosen->index]);
+    send_offer(self, call, *call.hedge, group.daemons[choice.chosen.index]);
     return {};
 }
 
--- a/test/hedging-process-test.cpp
+++ b/test/hedging-process-test.cpp
@@ -7,6 +7,7 @@
 #include "sardinepoint/http_client.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -356,6 +357,51 @@
     BOOST_TEST(this->run_until(slow_ms / 2, [&] { return both_cancelled("late"); }));
 }
 
+// Guards against losing a call whose one attempt is at a silent daemon while the other one runs.
+BOOST_FIXTURE_TEST_CASE(silent_daemon_of_one_attempt_leaves_the_other, hedging_fleet)
+{
+    for (const std::size_t silent : {std::size_t{0}, std::size_t{1}})
+    {
+        const std::string id = "silent-" + std::to_string(silent);
+        this->set_processing_time(usual_ms);
+        this->count_runs(*this->caller, 45, 9);
+        this->set_processing_time(slow_ms);
+        this->received_requests.clear();
+        http_result answer;
+        bool ended = false;
+        this->start_call(*this->caller, {.id = id},
+                         [&](http_result result)
+                         {
+                             answer = std::move(result);
+                             ended = true;
+                         });
+        BOOST_REQUIRE(this->run_until(slow_ms / 2, [&] { return this->run_count(id) == 2; }));
+        const std::vector<std::string> runners = this->runners_of(id);
+        const auto stopped = std::find_if(
+            this->daemons.begin(), this->daemons.end(),
+            [&](const auto& daemon) { return daemon->upstream->instance == runners.at(silent); });
+        (*stopped)->child_process->signal(SIGSTOP);
+        BOOST_TEST(this->run_until(2 * slow_ms, [&] { return ended; }));
+        (*stopped)->child_process->signal(SIGCONT);
+        BOOST_TEST(answer.response.status == 200);
+        BOOST_TEST(answer.response.body == "answer of " + runners.at(1 - silent));
+        BOOST_TEST(this->run_count(id) == 2);
+        // Until the daemon that was stopped is heard again.
+        this->run_for(2000);
+    }
+}
+
+// Guards against second attempts that a daemon starts while it shuts down.
+BOOST_FIXTURE_TEST_CASE(no_hedges_during_shutdown, hedging_fleet)
+{
+    this->set_processing_time(300);
+    this->caller->child_process->signal(SIGTERM);
+    this->run_for(100);
+    const http_result answer = this->call(*this->caller, {.id = "during-shutdown"});
+    BOOST_TEST(answer.response.status == 200);
+    BOOST_TEST(this->run_count("during-shutdown") == 1);
+}
+
 // Guards against second attempts that wait for a slot and take it from first attempts.
 BOOST_FIXTURE_TEST_CASE(daemon_returns_a_hedge_without_a_free_slot, default_fleet)
 {
