Don't hedge after the percentile has risen to the time of slow attempts

The slow answers raise the percentile, so that further ones end within the delay and counted as fast. Attempts of twice the median count as slow now.

--- a/src/hedging/hedge_policy.cpp
+++ b/src/hedging/hedge_policy.cpp
@@ -13,7 +13,10 @@
 constexpr time_ms min_delay_ms = 5;
 // The event loop may be this late under normal load.
 constexpr time_ms timer_tolerance_ms = 20;
-constexpr double overdue_gain = 0.1;
+constexpr double slow_gain = 0.1;
+// Multiple of the route's median from which on an attempt counts as slow. It is exceeded by 16% of
+// lognormal latencies with a standard deviation of the logarithm of 0.7.
+constexpr double slow_factor = 2;
 // The calls of other daemons may take a slot before the hedge arrives.
 constexpr int min_free_slots = 2;
 constexpr double median = 0.5;
@@ -23,6 +26,11 @@
     return view.reported_at != 0 && now - view.reported_at <= options.max_report_age;
 }
 
+void record_slow(route_attempts& attempts, bool slow)
+{
+    attempts.slow_fraction += slow_gain * ((slow ? 1.0 : 0.0) - attempts.slow_fraction);
+}
+
 int used_slots(const instance_view& view)
 {
     return view.report.running + view.report.waiting + view.sent_since_report;
@@ -65,10 +73,16 @@
     }
 }
 
-void record_overdue(hedge_state& state, const std::string& route, bool overdue)
+void record_overdue(hedge_state& state, const std::string& route)
+{
+    record_slow(state.attempts_by_route[route], true);
+}
+
+void record_in_time(hedge_state& state, const std::string& route, double latency_ms)
 {
-    double& fraction = state.attempts_by_route[route].overdue_fraction;
-    fraction += overdue_gain * ((overdue ? 1.0 : 0.0) - fraction);
+    route_attempts& attempts = state.attempts_by_route[route];
+    const auto usual = latency_percentile(attempts.latencies, median);
+    record_slow(attempts, usual && latency_ms > slow_factor * *usual);
 }
 
 void record_capacity_refusal(hedge_state& state, const std::string& service, time_ms now)
@@ -123,7 +137,7 @@
     }
     const auto route = state.attempts_by_route.find(request.route);
     if (route != state.attempts_by_route.end() &&
-        route->second.overdue_fraction > state.options.max_overdue_fraction)
+        route->second.slow_fraction > state.options.max_slow_fraction)
     {
         return "all_slow";
     }
--- a/src/hedging/hedge_policy.hpp
+++ b/src/hedging/hedge_policy.hpp
@@ -26,18 +26,18 @@
     /** Pause of hedging for a service after one of its calls was refused for want of a slot. */
     time_ms refusal_pause = 500;
     /**
-     * Maximum fraction of recent attempts of a route that are slower than its percentile. If more
-     * are, all upstreams are slow, and a second attempt would be as slow as the first.
+     * Maximum fraction of slow attempts among the recent ones of a route. If more are slow, all
+     * upstreams are, and a second attempt would be as slow as the first.
      */
-    double max_overdue_fraction = 0.4;
+    double max_slow_fraction = 0.4;
 };
 
 /** Recent attempts of one route. */
 struct route_attempts
 {
     decaying_latencies latencies;
-    /** Exponentially weighted fraction of the attempts that took longer than the hedge delay. */
-    double overdue_fraction = 0;
+    /** Exponentially weighted fraction of slow attempts. */
+    double slow_fraction = 0;
 };
 
 /** What a daemon keeps for hedging; empty while hedging is disabled. */
@@ -67,8 +67,15 @@
 void record_attempt_latency(hedge_state& state, const std::string& route, double latency_ms,
                             time_ms now);
 
-/** Records whether an attempt took longer than its hedge delay. */
-void record_overdue(hedge_state& state, const std::string& route, bool overdue);
+/** Records that an attempt takes longer than its hedge delay. */
+void record_overdue(hedge_state& state, const std::string& route);
+
+/**
+ * Records an attempt that ended within its hedge delay. It counts as slow if it took several times
+ * the route's median: soon after all upstreams have become slow, the hedge delay is that of slow
+ * attempts, while the median is still the usual one.
+ */
+void record_in_time(hedge_state& state, const std::string& route, double latency_ms);
 
 /** Records that a call was refused for want of a slot. */
 void record_capacity_refusal(hedge_state& state, const std::string& service, time_ms now);
--- a/src/hedging/hedged_calls.cpp
+++ b/src/hedging/hedged_calls.cpp
@@ -59,12 +59,13 @@
     {
         return;
     }
-    record_attempt_latency(hedging, call.route, static_cast<double>(now - call.offered_at), now);
+    const auto latency_ms = static_cast<double>(now - call.offered_at);
     // Without the timer, the attempt was recorded as overdue when the timer expired.
     if (call.hedge_timer)
     {
-        record_overdue(hedging, call.route, false);
+        record_in_time(hedging, call.route, latency_ms);
     }
+    record_attempt_latency(hedging, call.route, latency_ms, now);
 }
 
 void log_hedge(node& self, const outbound_call& call, const call_attempt& hedge,
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -635,7 +635,7 @@
                 schedule_hedge(self, *slow_call, now + postponement);
                 return;
             }
-            record_overdue(self.sidecar_state->hedging, slow_call->route, true);
+            record_overdue(self.sidecar_state->hedging, slow_call->route);
             const std::string_view refusal = try_hedge(self, *slow_call);
             if (!refusal.empty())
             {
--- a/support/model/load_model.cpp
+++ b/support/model/load_model.cpp
@@ -543,7 +543,7 @@
     const std::string& service_name = this->plan.services[service].name;
     upstream& daemon = this->upstreams[call->daemon];
     std::vector<instance_view>& views = daemon.views[service];
-    sardinepoint::record_overdue(daemon.hedging, route.name, true);
+    sardinepoint::record_overdue(daemon.hedging, route.name);
     const sardinepoint::placement_options& options = this->evaluated_policy.placement;
     const std::string_view refusal = sardinepoint::hedge_refusal(
         daemon.hedging,
@@ -611,7 +611,7 @@
             const auto delay = sardinepoint::hedge_delay(hedging, route, 0);
             if (delay && this->now - call->offered_at <= static_cast<double>(*delay))
             {
-                sardinepoint::record_overdue(hedging, route, false);
+                sardinepoint::record_in_time(hedging, route, this->now - call->offered_at);
             }
         }
         sardinepoint::record_attempt_latency(hedging, route, this->now - first->offered_at,
