--- a/include/sardinepoint/placement.hpp
+++ b/include/sardinepoint/placement.hpp
@@ -109,8 +109,9 @@
      */
     double local_fraction = 0;
     /**
-     * Fraction of its slots that such an upstream may have in use according to a recent report.
-     * Upstreams slow down near full, and a locality with more calls than capacity fills up first.
+     * Fraction of its slots that such an upstream may have in use according to its recent report,
+     * or else to those of its locality. Upstreams slow down near full, and a locality with more
+     * calls than capacity fills up first.
      */
     double max_local_use = 0.6;
 };
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -178,12 +178,22 @@
     return healthy.empty() ? suspended : healthy;
 }
 
-/** Whether a recent report shows that the instance has slots to spare. */
-bool has_spare_slots(const instance_view& view, const placement_options& options, time_ms now)
+/** Part of the slots in use according to recent reports of these instances; 0 without any. */
+double reported_use(std::span<const instance_view> views, std::span<const std::size_t> instances,
+                    const placement_options& options, time_ms now)
 {
-    const double used = view.report.running + view.sent_since_report;
-    return has_recent_report(view, options, now) && view.report.waiting == 0 &&
-           used < options.max_local_use * std::max(view.slots, 1);
+    double used = 0;
+    double slots = 0;
+    for (const std::size_t i : instances)
+    {
+        const instance_view& view = views[i];
+        if (has_recent_report(view, options, now))
+        {
+            used += view.report.running + view.report.waiting + view.sent_since_report;
+            slots += std::max(view.slots, 1);
+        }
+    }
+    return slots > 0 ? used / slots : 0;
 }
 
 /** Moves the instances of the request's locality to the front and returns their end. */
@@ -276,9 +286,17 @@
     const double local_limit = options.local_fraction * request.target_time_left;
     if (local_limit > 0)
     {
-        best = choose({usable.begin(), partition_local(views, request, usable)});
+        const std::vector<std::size_t> local(usable.begin(),
+                                             partition_local(views, request, usable));
+        best = choose(local);
+        // The use of the others tells that of an instance without a recent report.
+        const bool is_known = best && has_recent_report(views[best->index], options, now);
+        const double use = is_known ? reported_use(views, {&best->index, 1}, options, now)
+                                    : reported_use(views, local, options, now);
+        best =
+            best && best->cost <= local_limit && use < options.max_local_use ? best : std::nullopt;
     }
-    if (!best || best->cost > local_limit || !has_spare_slots(views[best->index], options, now))
+    if (!best)
     {
         best = choose(std::move(usable));
     }
