Revert sending calls without tokens while a coordinator changes

The limit goes before the calls that are refused while support moves (up to 2.5 s; docs/design/usage-limits.md).

--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -235,9 +235,6 @@
     const double room = std::max(0.0, usage_capacity(limit) * support - bucket.spent);
     update_demand(bucket, holding, static_cast<double>(claim.demand) / usage_demand_seconds);
     holding.claimed_at = now;
-    constexpr double whole_percent = 100;
-    const int use_percent =
-        static_cast<int>(std::lround(whole_percent * bucket.spent / usage_capacity(limit)));
 
     // Tokens may be renewed only as far as the present support covers all of them.
     int kept = std::min(claim.held, claim.wanted);
@@ -245,8 +242,7 @@
     {
         kept = std::min(kept, static_cast<int>(claim.held * room / bucket.held));
         return {.tokens = kept,
-                .more_in = time_until_more(bucket, holding, sustained_rate(limit, support)),
-                .use_percent = use_percent};
+                .more_in = time_until_more(bucket, holding, sustained_rate(limit, support))};
     }
     const int missing = std::max(0, claim.wanted - claim.held);
     const double refill_per_s = sustained_rate(limit, support);
@@ -257,9 +253,9 @@
     holding.held += granted;
     holding.credit = std::max(0.0, holding.credit - granted);
     return {.tokens = kept + granted,
-            .more_in =
-                kept + granted < claim.waiting ? time_until_more(bucket, holding, refill_per_s) : 0,
-            .use_percent = use_percent};
+            .more_in = kept + granted < claim.waiting
+                           ? time_until_more(bucket, holding, refill_per_s)
+                           : 0};
 }
 
 /** Records the message's sender and its support. Returns false if a later message has arrived. */
--- a/src/usage/messages.cpp
+++ b/src/usage/messages.cpp
@@ -120,7 +120,7 @@
         json& grants = value["o"] = json::object();
         for (const auto& [name, grant] : answer.grants)
         {
-            grants[name] = json::array({grant.tokens, grant.more_in, grant.use_percent});
+            grants[name] = json::array({grant.tokens, grant.more_in});
         }
     }
     return value;
@@ -147,14 +147,12 @@
     {
         for (const auto& [name, counts] : reader.object("o").items())
         {
-            std::array<std::int64_t, 3> values{};
+            std::array<std::int64_t, 2> values{};
             if (!read_counts(counts, values))
             {
                 return std::nullopt;
             }
-            answer.grants[name] = {.tokens = static_cast<int>(values[0]),
-                                   .more_in = values[1],
-                                   .use_percent = static_cast<int>(values[2])};
+            answer.grants[name] = {.tokens = static_cast<int>(values[0]), .more_in = values[1]};
         }
     }
     return answer;
--- a/src/usage/messages.hpp
+++ b/src/usage/messages.hpp
@@ -79,8 +79,6 @@
     int tokens = 0;
     /** Expected time until more tokens are available; 0 if all waiting calls got one. */
     time_ms more_in = 0;
-    /** Tokens spent by all daemons in the last window, in percent of the limit. */
-    int use_percent = 0;
 
     bool operator==(const usage_grant&) const = default;
 };
--- a/src/usage/usage.cpp
+++ b/src/usage/usage.cpp
@@ -398,11 +398,6 @@
             return true;
         }
     }
-    if (take_unbacked(usage.wallet, organisation, now))
-    {
-        count(self.stats, "usage_unbacked");
-        return true;
-    }
     if (time_until_tokens(usage.wallet, organisation, now) > max_hold_ms)
     {
         const usage_refusal refusal = make_refusal(self, organisation);
--- a/src/usage/wallet.cpp
+++ b/src/usage/wallet.cpp
@@ -20,15 +20,6 @@
 // the number of calls in that time, about its square root.
 constexpr double stock_s = 0.6;
 constexpr double stock_deviations = 1.2;
-// Answers come at least twice a second, so after this time the coordinator has changed, is
-// unreachable, or has lost the support of most daemons.
-constexpr time_ms max_supported_silence_ms = 1000;
-// Support moves within 2.5 s, and a dead coordinator is replaced within 2 s.
-constexpr time_ms max_unbacked_ms = 6000;
-// Daemons on both sides of a partition go on at their recent rates, so that what all of them send
-// stays below the limit; the rest covers calls that grow meanwhile.
-constexpr int max_unbacked_use_percent = 75;
-constexpr int most_daemons_percent = 60;
 // The next message is sent early when this part of the stock is left.
 constexpr double low_stock_part = 0.25;
 
@@ -102,26 +93,6 @@
     return usage_receipt{.sequence = wallet.sequence};
 }
 
-bool take_unbacked(usage_wallet& wallet, std::string_view organisation, time_ms now)
-{
-    const auto found = wallet.accounts.find(organisation);
-    const time_ms silence = now - wallet.supported_at;
-    if (found == wallet.accounts.end() || wallet.supported_at == 0 ||
-        silence <= max_supported_silence_ms || silence > max_unbacked_ms ||
-        found->second.use_percent > max_unbacked_use_percent)
-    {
-        return false;
-    }
-    usage_account& account = found->second;
-    const double allowed = account.supported_rate * static_cast<double>(silence) / ms_per_second;
-    if (account.unbacked + 1 > allowed)
-    {
-        return false;
-    }
-    ++account.unbacked;
-    return true;
-}
-
 void return_token(usage_wallet& wallet, std::string_view organisation, usage_receipt receipt,
                   time_ms now)
 {
@@ -190,8 +161,6 @@
     wallet.nonce = answer.nonce;
     wallet.answered_at = now;
     wallet.support_percent = answer.support_percent;
-    const bool is_supported = answer.support_percent >= most_daemons_percent;
-    wallet.supported_at = is_supported ? now : wallet.supported_at;
     for (auto& [name, account] : wallet.accounts)
     {
         const int spent_since = account.spent - account.reported;
@@ -208,12 +177,6 @@
         account.balance = grant->second.tokens - spent_since;
         account.term_end = wallet.sent_at + usage_term_ms;
         account.more_at = grant->second.more_in > 0 ? now + grant->second.more_in : 0;
-        if (is_supported)
-        {
-            account.supported_rate = calls_per_s(account, now);
-            account.use_percent = grant->second.use_percent;
-            account.unbacked = 0;
-        }
         account.settled = account.balance <= 0 && account.spent == 0 && !is_active(account, now);
     }
     return true;
--- a/src/usage/wallet.hpp
+++ b/src/usage/wallet.hpp
@@ -28,12 +28,6 @@
     int waiting = 0;
     /** Earliest time at which the coordinator expects to have more tokens. */
     time_ms more_at = 0;
-    /** Calls per second, and use of the limit by all daemons in percent, when the coordinator last
-     * answered with the support of most daemons. */
-    double supported_rate = 0;
-    int use_percent = 100;
-    /** Calls since then that were sent without a token. */
-    int unbacked = 0;
     /** The last answered claim was empty, so that the coordinator holds nothing for this account.
      */
     bool settled = true;
@@ -61,8 +55,6 @@
     std::optional<usage_nonce> nonce;
     time_ms answered_at = 0;
     int support_percent = 0;
-    /** Time of the last answer with the support of most daemons. */
-    time_ms supported_at = 0;
     /** Coordinator that this daemon supports, and the time until which it supports no other. */
     std::uint64_t supported_ledger = 0;
     time_ms support_until = 0;
@@ -76,13 +68,6 @@
 std::optional<usage_receipt> take_token(usage_wallet& wallet, std::string_view organisation,
                                         time_ms now);
 
-/**
- * Whether a call without a token may be sent because the coordinator is being replaced or can't be
- * reached: for some seconds, a daemon goes on at its recent rate if the organisation was far below
- * its limit.
- */
-bool take_unbacked(usage_wallet& wallet, std::string_view organisation, time_ms now);
-
 /**
  * Puts back the token of a call that did not run. Tokens whose spending a message has reported are
  * not put back: the coordinator may have issued others in their place.
