--- a/src/organisations/keys.cpp
+++ b/src/organisations/keys.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t digest_bytes = 16;
 constexpr std::size_t digest_digits = 2 * digest_bytes;
 constexpr std::size_t index_digits = 16;
+constexpr std::string_view authorization = "Authorization";
 constexpr std::string_view bearer_scheme = "Bearer";
 
 /** Index of a digest; only digests are compared by it, so it tells nothing of a key. */
@@ -88,7 +89,6 @@
 
 std::optional<std::string> take_bearer_key(std::vector<http_header>& headers)
 {
-    constexpr std::string_view authorization = "Authorization";
     const auto count = std::count_if(headers.begin(), headers.end(),
                                      [](const http_header& header)
                                      { return equal_header_name(header.name, authorization); });
