Share the raw HTTP server of the tests, and rewrite relayed responses

Tests of broken responses need a server and a caller on raw sockets: a library on either side would hide what is sent.

--- a/support/rig/mesh.cpp
+++ b/support/rig/mesh.cpp
@@ -346,6 +346,14 @@
     return get_json(daemon.control, "/v1/status");
 }
 
+bool announce_upstream(const daemon_node& daemon, const endpoint& upstream)
+{
+    const json body{{"service", "duty-board"}, {"version", "v1"}, {"address", upstream.address},
+                    {"port", upstream.port},   {"slots", 15},     {"connections", 130}};
+    const json response = post_json(daemon.control, "/v1/announce", body);
+    return response.is_object() && response["status"] == 200;
+}
+
 json service_operations(const std::string& service, const std::string& version,
                         const std::string& prefix)
 {
--- a/support/rig/mesh.hpp
+++ b/support/rig/mesh.hpp
@@ -159,6 +159,9 @@
 
 nlohmann::json status_of(const daemon_node& daemon);
 
+/** Announces an upstream of "duty-board" v1 once; returns false on failure. */
+bool announce_upstream(const daemon_node& daemon, const endpoint& upstream);
+
 /** Operations that add a service, whose only version gets all traffic, and a route to it. */
 nlohmann::json service_operations(const std::string& service, const std::string& version,
                                   const std::string& prefix);
--- a/support/rig/relay.cpp
+++ b/support/rig/relay.cpp
@@ -149,6 +149,14 @@
     }
     update_watches(self, id);
     const relay_rule* rule = find_rule(self, found->second->source, found->second->target);
+    if (rule != nullptr && rule->action == relay_action::rewrite_responses && !forward)
+    {
+        const std::size_t at = direction.buffer.find(rule->pattern);
+        if (at != std::string::npos)
+        {
+            direction.buffer.replace(at, rule->pattern.size(), rule->replacement);
+        }
+    }
     if (rule != nullptr && rule->action == relay_action::delay)
     {
         run_after(*self.loop, rule->delay,
--- a/support/rig/relay.hpp
+++ b/support/rig/relay.hpp
@@ -22,6 +22,8 @@
     close,
     /** Bytes are forwarded after a delay. */
     delay,
+    /** A text in the bytes from the target is replaced. */
+    rewrite_responses,
 };
 
 /** Action applied to the traffic between two peers. */
@@ -33,6 +35,9 @@
     std::string target;
     relay_action action = relay_action::hold;
     time_ms delay = 0;
+    /** Text that rewrite_responses replaces; it must arrive in one piece. */
+    std::string pattern = {};
+    std::string replacement = {};
 };
 
 struct relay_connection;
--- a/test/call-test.cpp
+++ b/test/call-test.cpp
@@ -3,17 +3,14 @@
 
 #include "rig/call_storm.hpp"
 #include "rig/mesh.hpp"
+#include "rig/raw_http.hpp"
 
 #include "sardinepoint/limits.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <atomic>
 #include <future>
 #include <random>
@@ -112,122 +109,6 @@
     }
 };
 
-/** Upstream on a raw socket; a callback writes the response to each request. */
-class raw_upstream
-{
-public:
-    using handler = std::function<void(int fd, const std::string& request, int number)>;
-
-    raw_upstream(const std::string& ip, handler respond)
-        : respond(std::move(respond)), listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-        socklen_t length = sizeof address;
-        BOOST_REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
-        BOOST_REQUIRE(::listen(this->listener, SOMAXCONN) == 0);
-        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
-        this->where = {ip, ntohs(address.sin_port)};
-        this->server = std::thread([this] { this->serve(); });
-    }
-
-    ~raw_upstream()
-    {
-        this->stopping = true;
-        this->server.join();
-        ::close(this->listener);
-    }
-
-    raw_upstream(const raw_upstream&) = delete;
-    raw_upstream& operator=(const raw_upstream&) = delete;
-
-    /** Announces itself once, with a long lease. */
-    void announce(const rig::daemon_node& daemon) const
-    {
-        const json body{
-            {"service", "duty-board"},  {"version", "v1"}, {"address", this->where.address},
-            {"port", this->where.port}, {"slots", 15},     {"connections", 130}};
-        BOOST_REQUIRE(rig::post_json(daemon.control, "/v1/announce", body)["status"] == 200);
-    }
-
-    std::atomic<int> requests{0};
-
-private:
-    void serve()
-    {
-        std::vector<pollfd> polled{{this->listener, POLLIN, 0}};
-        std::vector<std::string> buffers{""};
-        while (!this->stopping)
-        {
-            constexpr int poll_ms = 10;
-            ::poll(polled.data(), polled.size(), poll_ms);
-            if ((polled[0].revents & POLLIN) != 0)
-            {
-                polled.push_back({::accept(this->listener, nullptr, nullptr), POLLIN, 0});
-                buffers.emplace_back();
-            }
-            for (std::size_t i = 1; i < polled.size(); ++i)
-            {
-                if (polled[i].fd >= 0 && (polled[i].revents & (POLLIN | POLLHUP)) != 0 &&
-                    !this->read_from(polled[i].fd, buffers[i]))
-                {
-                    ::close(polled[i].fd);
-                    polled[i].fd = -1;
-                }
-            }
-        }
-        for (std::size_t i = 1; i < polled.size(); ++i)
-        {
-            ::close(polled[i].fd);
-        }
-    }
-
-    /** Returns false once the connection has ended. */
-    bool read_from(int fd, std::string& buffer)
-    {
-        std::array<char, 65536> chunk{};
-        const ssize_t length = ::recv(fd, chunk.data(), chunk.size(), 0);
-        if (length <= 0)
-        {
-            return false;
-        }
-        buffer.append(chunk.data(), static_cast<std::size_t>(length));
-        const std::size_t end = buffer.find("\r\n\r\n");
-        if (end == std::string::npos)
-        {
-            return true;
-        }
-        const std::size_t field = buffer.find("Content-Length: ");
-        const std::size_t body =
-            field < end ? std::stoul(buffer.substr(field + 16)) : std::size_t{0};
-        if (buffer.size() < end + 4 + body)
-        {
-            return true;
-        }
-        const std::string request = buffer.substr(0, end + 4 + body);
-        buffer.erase(0, request.size());
-        this->respond(fd, request, ++this->requests);
-        return true;
-    }
-
-    handler respond;
-    int listener;
-    endpoint where;
-    std::atomic<bool> stopping{false};
-    std::thread server;
-};
-
-void write_text(int fd, const std::string& text)
-{
-    (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-}
-
-std::string body_of(const std::string& request)
-{
-    return request.substr(request.find("\r\n\r\n") + 4);
-}
-
 std::string complete_response(const std::string& body)
 {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -302,25 +183,25 @@
     this->mesh.add_daemon("vm-0", "tallinn-a");
     BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
     this->publish();
-    raw_upstream upstream(
-        "127.0.0.1",
+    rig::raw_server upstream(
+        {"127.0.0.1", 0},
         [](int fd, const std::string& request, int)
         {
-            const std::string body = body_of(request);
+            const std::string body = rig::body_of(request);
             if (body == "short")
             {
-                write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+                rig::write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
                 ::shutdown(fd, SHUT_RDWR);
             }
             else if (body == "chunked")
             {
-                write_text(fd,
-                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+                rig::write_text(
+                    fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
                 ::shutdown(fd, SHUT_RDWR);
             }
             else if (body == "endless")
             {
-                write_text(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+                rig::write_text(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
                 ::shutdown(fd, SHUT_RDWR);
             }
             else if (body == "late")
@@ -329,7 +210,7 @@
                     [fd = ::dup(fd)]
                     {
                         rig::pause(300);
-                        write_text(fd, complete_response("late"));
+                        rig::write_text(fd, complete_response("late"));
                         ::close(fd);
                     })
                     .detach();
@@ -340,21 +221,21 @@
             }
             else if (body == "twice")
             {
-                write_text(fd, complete_response("twice") + complete_response("extra"));
+                rig::write_text(fd, complete_response("twice") + complete_response("extra"));
             }
             else if (body == "claims")
             {
-                write_text(fd, "HTTP/1.1 503 No\r\nSardinepoint-Outcome: not-run\r\n"
-                               "Sardinepoint-Crash: x\r\nContent-Length: 0\r\n\r\n");
+                rig::write_text(fd, "HTTP/1.1 503 No\r\nSardinepoint-Outcome: not-run\r\n"
+                                    "Sardinepoint-Crash: x\r\nContent-Length: 0\r\n\r\n");
             }
             else
             {
-                write_text(fd, complete_response(body));
+                rig::write_text(fd, complete_response(body));
             }
         });
     for (const char* broken : {"short", "chunked", "endless"})
     {
-        upstream.announce(this->mesh.daemons[0]);
+        BOOST_REQUIRE(rig::announce_upstream(this->mesh.daemons[0], upstream.where));
         BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 1, start_limit_ms));
         const int before = upstream.requests;
         BOOST_TEST_CONTEXT(broken)
@@ -363,7 +244,7 @@
             BOOST_TEST(upstream.requests == before + 1);
         }
     }
-    upstream.announce(this->mesh.daemons[0]);
+    BOOST_REQUIRE(rig::announce_upstream(this->mesh.daemons[0], upstream.where));
     http_call late{.method = "POST",
                    .headers = {{"Sardinepoint-Deadline-Ms", "150"}},
                    .body = "late",
@@ -371,7 +252,7 @@
     BOOST_TEST(outcome_of(rig::call(this->mesh.daemons[0].data, late, "/duty/a")) == "unknown");
     for (int i = 0; i < 50; ++i)
     {
-        upstream.announce(this->mesh.daemons[0]);
+        BOOST_REQUIRE(rig::announce_upstream(this->mesh.daemons[0], upstream.where));
         const std::string body = i % 5 == 0 ? "twice" : "body " + std::to_string(i);
         const http_result result = this->post(0, body);
         BOOST_TEST(outcome_of(result) == "answered");
@@ -515,15 +396,15 @@
     this->mesh.add_daemon("vm-0", "tallinn-a");
     BOOST_REQUIRE(this->mesh.wait_ready(start_limit_ms));
     this->publish();
-    raw_upstream upstream("127.0.0.1",
-                          [](int fd, const std::string&, int) { ::shutdown(fd, SHUT_RDWR); });
+    rig::raw_server upstream({"127.0.0.1", 0},
+                             [](int fd, const std::string&, int) { ::shutdown(fd, SHUT_RDWR); });
     constexpr int calls = 400;
     const time_ms started = steady_now();
     for (int i = 0; i < calls; ++i)
     {
         if (i % 20 == 0)
         {
-            upstream.announce(this->mesh.daemons[0]);
+            BOOST_REQUIRE(rig::announce_upstream(this->mesh.daemons[0], upstream.where));
             BOOST_REQUIRE(this->mesh.wait_upstreams("duty-board", 1, start_limit_ms));
         }
         rig::call(this->mesh.daemons[0].data, {}, "/duty/" + std::to_string(i));
