Reject responses whose status is no HTTP status

What callers saw: an upstream that answered with status 000, 001, 099 or 101 was waited for until the call's deadline (4,991 to 4,998 ms of 5 s), as anything below 200 counted as an interim response. 600 and 999 were passed on with the upstream's body, beside the upstream, through another daemon and on the platform. A store that answered an append with 600 was taken to have refused it, though it may have been appended, and the command-line tool took 600 for a daemon's answer without a message.

Cause: neither reader of responses compared the status with the range that HTTP defines. Boost.Beast accepts any three digits; libcurl rejects those below 100 and passes on the rest, 101 and a control byte in the reason included.

Change: check_head_line() checks each status line as soon as it has arrived, in the connection pool (calls to upstreams and between sidecars, health requests) and in the libcurl client (store, log, peers, calls between daemons, the tool): HTTP/1, three digits between 100 and 599, no 101, as no request asks for another protocol. A response that fails the check ends its call at once with the outcome "unknown" and closes its connection: the call may have run, so it is only sent again if it is idempotent, and its caller otherwise gets 502 (platform) or 504.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "sardinepoint/connection_pool.hpp"
 
 #include "http_text.hpp"
+#include "response_head.hpp"
 #include "socket_address.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -38,7 +39,6 @@
 // Peers close idle connections after 10 s or more.
 constexpr time_ms max_idle_ms = 9000;
 constexpr time_ms sweep_interval_ms = 1000;
-constexpr int first_final_status = 200;
 // Shorter than the minimum idle timeout of upstreams.
 constexpr time_ms retryable_idle_ms = 5000;
 // A call that can't be retried must not be sent on a connection that the upstream is closing.
@@ -76,6 +76,9 @@
     bool has_served_call = false;
     std::optional<response_parser> parser;
     std::string input;
+    /** Bytes of the input that belong to checked lines of the head; the parser may need more. */
+    std::size_t checked_bytes = 0;
+    response_head head;
     bool header_validated = false;
     time_ms idle_since = 0;
 };
@@ -268,7 +271,7 @@
     {
         return true;
     }
-    if (connection.parser->get().result_int() < first_final_status)
+    if (is_interim_status(connection.head.status))
     {
         return true;
     }
@@ -285,6 +288,28 @@
     connection.parser->body_limit(max_body_bytes);
     connection.parser->skip(call.call.method == "HEAD");
     connection.header_validated = false;
+    connection.head = {};
+    connection.checked_bytes = 0;
+}
+
+/** Returns why the lines of the head that have arrived are invalid; empty if they are not. */
+std::string check_head(pooled_connection& connection)
+{
+    std::string defect;
+    while (defect.empty() && !connection.head.complete)
+    {
+        const std::size_t end = connection.input.find('\n', connection.checked_bytes);
+        if (end == std::string::npos)
+        {
+            break;
+        }
+        std::string_view line(connection.input.data() + connection.checked_bytes,
+                              end - connection.checked_bytes);
+        line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+        defect = check_head_line(connection.head, line);
+        connection.checked_bytes = end + 1;
+    }
+    return defect;
 }
 
 /** Parses the buffered input. May destroy the connection. */
@@ -293,15 +318,21 @@
     pooled_call* call = find_call(pool, connection.call);
     while (call != nullptr && !connection.input.empty())
     {
+        if (const std::string defect = check_head(connection); !defect.empty())
+        {
+            fail_connection(pool, connection.id, {.reason = unreadable_response(defect)});
+            return;
+        }
         boost::system::error_code problem;
         const std::size_t used =
             connection.parser->put(boost::asio::buffer(connection.input), problem);
         connection.input.erase(0, used);
+        connection.checked_bytes -= std::min(used, connection.checked_bytes);
         const bool needs_more = problem == beast_http::error::need_more;
         if (problem && !needs_more)
         {
             fail_connection(pool, connection.id,
-                            {.reason = "the answer can't be read: " + problem.message()});
+                            {.reason = unreadable_response(problem.message())});
             return;
         }
         if (!validate_header(connection, *call))
@@ -318,7 +349,7 @@
             }
             continue;
         }
-        if (connection.parser->get().result_int() < first_final_status)
+        if (is_interim_status(connection.head.status))
         {
             start_parser(connection, *call);
             continue;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "sardinepoint/http_client.hpp"
 
+#include "response_head.hpp"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -53,6 +55,9 @@
     http_call call;
     std::function<void(http_result)> done;
     http_result result;
+    response_head head;
+    /** Why the response is no valid HTTP/1.1; empty if it is. */
+    std::string defect;
     std::size_t body_sent = 0;
     std::size_t max_body_bytes = 0;
     std::unique_ptr<curl_slist, curl_list_deleter> header_list;
@@ -90,13 +95,22 @@
 {
     active_call& call = *static_cast<active_call*>(context);
     std::string_view line(data, size * count);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+    line.remove_suffix(line.ends_with('\n') ? 1 : 0);
+    line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+    if (call.head.complete && is_interim_status(call.head.status))
     {
-        line.remove_suffix(1);
+        call.head = {};
+        call.result.response.headers.clear();
     }
-    if (line.substr(0, 5) == "HTTP/")
+    const bool is_status_line = call.head.status == 0;
+    call.defect = check_head_line(call.head, line);
+    if (!call.defect.empty())
+    {
+        // Aborts the transfer and closes its connection.
+        return 0;
+    }
+    if (is_status_line)
     {
-        call.result.response.headers.clear();
         return size * count;
     }
     const std::size_t colon = line.find(':');
@@ -144,19 +158,25 @@
 }
 
 // A response that is delimited only by the end of its connection may be truncated by a crash.
-bool is_self_delimiting(const http_response& response, long status)
+bool is_self_delimiting(const http_response& response, int status)
 {
-    constexpr long no_content = 204;
-    constexpr long not_modified = 304;
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
     return response.body.empty() || status == no_content || status == not_modified ||
            find_header(response.headers, "Content-Length") ||
            find_header(response.headers, "Transfer-Encoding");
 }
 
-void classify_result(CURL* handle, CURLcode code, http_result& result)
+void classify_result(CURLcode code, active_call& call)
 {
-    long status = 0;
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    http_result& result = call.result;
+    CURL* handle = call.handle.get();
+    const int status = call.head.status;
+    if (!call.defect.empty())
+    {
+        result = {.reason = unreadable_response(call.defect)};
+        return;
+    }
     if (code == CURLE_OK && !is_self_delimiting(result.response, status))
     {
         result = {.reason = "the end of the answer can't be proved: it has neither a length nor "
@@ -166,7 +186,7 @@
     if (code == CURLE_OK)
     {
         result.outcome = call_outcome::answered;
-        result.response.status = static_cast<int>(status);
+        result.response.status = status;
         return;
     }
     long request_size = 0;
@@ -243,7 +263,7 @@
     auto entry = client.calls.extract(id->second);
     client.ids.erase(id);
     std::unique_ptr<active_call> call = std::move(entry.mapped());
-    classify_result(handle, code, call->result);
+    classify_result(code, *call);
     record_timeout(client, *call);
     count_bytes(client, handle, *call);
     curl_multi_remove_handle(client.multi, handle);
--- /dev/null
+++ b/src/response_head.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace sardinepoint
+{
+
+/** Reason of a call whose response has the defect. */
+std::string unreadable_response(std::string_view defect);
+
+/** State of a response's head that is checked line by line as it arrives. */
+struct response_head
+{
+    /** 0 until the status line has arrived. */
+    int status = 0;
+    /** Whether the empty line at its end has arrived. */
+    bool complete = false;
+};
+
+/** Whether further responses to the same request follow the one with this status. */
+bool is_interim_status(int status);
+
+/**
+ * Checks the next line of a head, without its line end. Returns why a response with this line is
+ * not valid HTTP/1.1; empty if it may be. The reason never includes bytes of the response.
+ */
+std::string check_head_line(response_head& head, std::string_view line);
+
+} // namespace sardinepoint
--- a/test/cli-test.cpp
+++ b/test/cli-test.cpp
@@ -1,8 +1,11 @@
 #define BOOST_TEST_MODULE cli
+#include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "rig/broken_responses.hpp"
 #include "rig/mesh.hpp"
+#include "rig/raw_http.hpp"
 
 #include "sardinepoint/http_server.hpp"
 
@@ -416,6 +419,24 @@
     BOOST_TEST(deadline <= after + 3600'000);
 }
 
+// Guards against a broken response that is taken for a daemon's answer: the patch may be published.
+BOOST_DATA_TEST_CASE(broken_response_of_a_daemon_is_no_answer,
+                     boost::unit_test::data::make(rig::broken_statuses()), broken)
+{
+    const std::string response =
+        rig::to_text(broken, {}, R"({"result":"accepted","id":"p","version":1,"offset":0})");
+    rig::raw_server daemon({"127.0.0.1", 0},
+                           [&](int fd, const std::string&, int) { rig::write_text(fd, response); });
+    const std::string option = " --daemon=" + to_string(daemon.where);
+    check_error(run_tool("patch " + temp_files().write(patch_text(valid_operation)) + option +
+                         " --timeout-ms=300"),
+                10, {"did not respond"});
+    const program_run status =
+        run_tool("status" + option + shared_mesh().daemon_option().replace(0, 10, ","));
+    BOOST_TEST(status.status == 0, status.err);
+    BOOST_TEST(status.out.find("vm-1") != std::string::npos, status.out);
+}
+
 // Guards against a drain that the tool reports although it isn't in effect or can't be undone.
 BOOST_AUTO_TEST_CASE(drain_and_undo_are_shown)
 {
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -1,6 +1,11 @@
 #define BOOST_TEST_MODULE http
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "rig/broken_responses.hpp"
+#include "rig/raw_http.hpp"
+
 #include "sardinepoint/http_client.hpp"
 #include "sardinepoint/http_server.hpp"
 
@@ -20,7 +25,7 @@
 constexpr time_ms test_limit_ms = 10000;
 
 /** An event loop and a client. The loop fails the test if the expected event never occurs. */
-struct rig
+struct client_rig
 {
     event_loop_ptr loop = make_event_loop();
     http_client_ptr client = open_http_client(*this->loop, {});
@@ -102,7 +107,7 @@
 // Guards against responses that are delivered to the wrong call when they arrive out of order.
 BOOST_AUTO_TEST_CASE(response_reaches_its_call)
 {
-    rig r;
+    client_rig r;
     error reason;
     http_server_ptr server;
     server = open_http_server(
@@ -143,7 +148,7 @@
 {
     for (const std::string body : {"work", ""})
     {
-        rig r;
+        client_rig r;
         closing_peer peer(*r.loop);
         const std::string url = "http://127.0.0.1:" + std::to_string(peer.port) + "/";
         const http_call call{
@@ -167,7 +172,7 @@
 // Guards against a refused connection being reported as a call that may have run.
 BOOST_AUTO_TEST_CASE(refused_connection_is_proven_not_sent)
 {
-    rig r;
+    client_rig r;
     error reason;
     http_server_ptr server = open_http_server(
         *r.loop, {}, {.on_request = [](request_id, const http_request&) {}, .on_cancelled = {}},
@@ -187,7 +192,7 @@
 // this while the connection is suspended.
 BOOST_AUTO_TEST_CASE(cancelled_call_is_reported_to_the_server)
 {
-    rig r;
+    client_rig r;
     error reason;
     http_server_ptr server;
     call_id call;
@@ -209,7 +214,7 @@
 // Guards against a call that timed out after it was sent being reported as not sent.
 BOOST_AUTO_TEST_CASE(timed_out_call_is_unknown)
 {
-    rig r;
+    client_rig r;
     error reason;
     http_server_ptr server = open_http_server(
         *r.loop, {}, {.on_request = [](request_id, const http_request&) {}, .on_cancelled = {}},
@@ -223,3 +228,37 @@
                  });
     r.wait();
 }
+
+// Guards against a broken response that is delivered, and against reuse of its connection.
+BOOST_DATA_TEST_CASE(broken_responses_are_never_delivered,
+                     boost::unit_test::data::make(rig::broken_statuses()), broken)
+{
+    client_rig r;
+    rig::raw_server peer({"127.0.0.1", 0},
+                         [&](int fd, const std::string&, int number)
+                         {
+                             const std::string next =
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+                             rig::write_text(fd, number == 1 ? rig::to_text(broken) : next);
+                         });
+    const std::string url = "http://" + to_string(peer.where) + "/a";
+    constexpr time_ms call_limit_ms = 1000;
+    http_result result;
+    const auto finish = [&](http_result value)
+    {
+        result = std::move(value);
+        stop(*r.loop);
+    };
+    send_request(*r.client, {.url = url, .timeout = call_limit_ms}, finish);
+    r.wait();
+    BOOST_TEST((result.outcome == call_outcome::unknown));
+    BOOST_TEST(!result.timed_out);
+    BOOST_TEST(!result.connection_lost);
+    BOOST_TEST(result.response.headers.empty());
+    BOOST_TEST(result.response.body.empty());
+    resume(*r.loop);
+    send_request(*r.client, {.url = url, .timeout = call_limit_ms}, finish);
+    r.wait();
+    BOOST_TEST((result.outcome == call_outcome::answered));
+    BOOST_TEST(result.response.body == "next");
+}
--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -1,10 +1,13 @@
 #define BOOST_TEST_MODULE platform
+#include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fleet_words.hpp"
 #include "json_reader.hpp"
+#include "rig/broken_responses.hpp"
 #include "rig/loop.hpp"
+#include "rig/raw_http.hpp"
 #include "rig/store.hpp"
 
 #include "sardinepoint/platform_adapter.hpp"
@@ -496,6 +499,23 @@
     BOOST_TEST(client.newest(snapshot_stream).ok == (sample.fault == rig::store_fault::none));
 }
 
+// Guards against a broken response that is taken for the store's refusal or acknowledgement: what
+// was sent may have been appended.
+BOOST_DATA_TEST_CASE(broken_responses_of_the_store_prove_nothing,
+                     boost::unit_test::data::make(rig::broken_statuses()), broken)
+{
+    std::string response = rig::to_text(broken, {}, R"({"Offset":0,"EndOffset":1})");
+    rig::raw_server broken_store({"127.0.0.1", 0}, [&](int fd, const std::string&, int)
+                                 { rig::write_text(fd, response); });
+    store_client client;
+    client.log.service = broken_store.where;
+    BOOST_TEST((client.append("{}").outcome == append_outcome::unknown));
+    response = rig::to_text(broken, {}, std::string(16, '\0'));
+    BOOST_TEST(!client.read(0).ok);
+    response = rig::to_text(broken, {}, R"({"items":[],"HasMore":false,"EndOffset":0})");
+    BOOST_TEST(!client.newest(snapshot_stream).ok);
+}
+
 // Guards against mistaking a response that can't be decoded for an empty topic.
 BOOST_AUTO_TEST_CASE(garbled_records_are_rejected)
 {
--- a/test/pool-test.cpp
+++ b/test/pool-test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "rig/broken_responses.hpp"
 #include "rig/loop.hpp"
 
 #include "sardinepoint/connection_pool.hpp"
@@ -260,6 +261,51 @@
     }
 }
 
+// Guards against a broken response that is delivered or waited for, and against reuse of its
+// connection.
+BOOST_DATA_TEST_CASE(broken_responses_are_never_delivered,
+                     boost::unit_test::data::make(rig::broken_statuses()), broken)
+{
+    raw_peer peer;
+    peer.start(peer.get());
+    BOOST_REQUIRE(!peer.receive(0).empty());
+    peer.send(0, rig::to_text(broken));
+    BOOST_REQUIRE(peer.ended());
+    BOOST_TEST((peer.result->outcome == call_outcome::unknown));
+    BOOST_TEST(!peer.result->timed_out);
+    BOOST_TEST(!peer.result->connection_lost);
+    BOOST_TEST(peer.result->response.headers.empty());
+    BOOST_TEST(peer.result->response.body.empty());
+    BOOST_TEST(open_connections(*peer.pool) == 0U);
+    peer.start(peer.get("2"));
+    BOOST_REQUIRE(!peer.receive(1).empty());
+    peer.send(1, ok("next"));
+    BOOST_REQUIRE(peer.ended());
+    BOOST_TEST(peer.result->response.body == "next");
+}
+
+// Guards against a response in pieces that is taken for a broken one.
+BOOST_FIXTURE_TEST_CASE(response_may_arrive_in_pieces, raw_peer)
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nX-B: 2\r\nContent-Length: 4\r\nX-C: 3\r\n\r\nbody";
+    for (std::size_t first = 1; first < text.size(); ++first)
+    {
+        BOOST_TEST_CONTEXT(first)
+        {
+            this->start(this->get());
+            BOOST_REQUIRE(!this->receive(0).empty());
+            this->send(0, text.substr(0, first));
+            rig::run_for(*this->loop, 2);
+            BOOST_TEST(!this->result.has_value());
+            this->send(0, text.substr(first));
+            BOOST_REQUIRE(this->ended());
+            BOOST_TEST(this->result->response.body == "body");
+            BOOST_TEST(this->result->response.headers.size() == 3U);
+        }
+    }
+}
+
 // Guards against truncated responses without a length: only a close ends them, not a reset.
 BOOST_FIXTURE_TEST_CASE(response_without_length_ends_at_connection_close, raw_peer)
 {
