End a call as soon as its response can't be HTTP

What callers saw: an upstream that sent a few bytes that are no HTTP, such as "trouble", and kept the connection open was waited for until the call's deadline.

Cause: the pool's parser compares nothing before it has eight bytes, and the lines of a head are checked only when they have arrived completely.

Change: the first bytes must be the start of a status line.

Evidence: before the change one of four cases of pool-test: unfinished_broken_response_ends_its_call timed out; the libcurl client passed all four in http-test. After it pool-test, http-test, platform-test, cli-test, call-test and broken-response-test pass.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -295,7 +295,7 @@
 /** Returns why the lines of the head that have arrived are invalid; empty if they are not. */
 std::string check_head(pooled_connection& connection)
 {
-    std::string defect;
+    std::string defect = connection.head.status == 0 ? check_head_start(connection.input) : "";
     while (defect.empty() && !connection.head.complete)
     {
         const std::size_t end = connection.input.find('\n', connection.checked_bytes);
--- a/src/response_head.cpp
+++ b/src/response_head.cpp
@@ -14,6 +14,7 @@
 constexpr int max_status = 599;
 constexpr int switching_protocols = 101;
 constexpr std::string_view version_start = "HTTP/1.";
+constexpr std::string_view no_status_line = "it does not start with a status line";
 
 bool is_digit(char byte)
 {
@@ -65,7 +66,7 @@
     const auto status = parse_status_line(line);
     if (!status)
     {
-        return "it does not start with a status line";
+        return std::string(no_status_line);
     }
     if (*status < min_status || *status > max_status)
     {
@@ -114,6 +115,13 @@
     return status < first_final_status;
 }
 
+std::string check_head_start(std::string_view bytes)
+{
+    const std::size_t size = std::min(bytes.size(), version_start.size());
+    return std::string(bytes.substr(0, size) == version_start.substr(0, size) ? ""
+                                                                              : no_status_line);
+}
+
 std::string check_head_line(response_head& head, std::string_view line)
 {
     if (head.status == 0)
--- a/src/response_head.hpp
+++ b/src/response_head.hpp
@@ -25,6 +25,12 @@
 /** Whether the line continues the field before it. */
 bool is_continuation(std::string_view line);
 
+/**
+ * Checks the first bytes of a head, which may be only a part of its status line. Returns why no
+ * valid response starts with them; empty if one may.
+ */
+std::string check_head_start(std::string_view bytes);
+
 /**
  * Checks the next line of a head, or of the trailer that may follow its body, without its line end.
  * Returns why a response with this line is not valid HTTP/1.1; empty if it may be. The reason never
--- a/support/rig/broken_responses.cpp
+++ b/support/rig/broken_responses.cpp
@@ -84,6 +84,11 @@
     return responses;
 }
 
+std::vector<std::string> unfinished_broken_responses()
+{
+    return {"trouble", "\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"};
+}
+
 std::vector<response_sample> unusual_responses()
 {
     const std::string ok(valid_status_line);
--- a/support/rig/broken_responses.hpp
+++ b/support/rig/broken_responses.hpp
@@ -34,6 +34,9 @@
 /** Responses with a line in their head that is no valid header field. */
 std::vector<response_sample> broken_fields();
 
+/** Starts of responses that can't become valid, whatever follows. */
+std::vector<std::string> unfinished_broken_responses();
+
 /** Responses that are valid although they are unusual. */
 std::vector<response_sample> unusual_responses();
 
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -265,6 +265,25 @@
     BOOST_TEST(result.response.body == "next");
 }
 
+// Guards against a call that waits for the rest of a response that is already known to be broken.
+BOOST_DATA_TEST_CASE(unfinished_broken_response_ends_its_call,
+                     boost::unit_test::data::make(rig::unfinished_broken_responses()), text)
+{
+    client_rig r;
+    rig::raw_server peer({"127.0.0.1", 0},
+                         [&](int fd, const std::string&, int) { rig::write_text(fd, text); });
+    http_result result;
+    send_request(*r.client, {.url = "http://" + to_string(peer.where) + "/a", .timeout = 1000},
+                 [&](http_result value)
+                 {
+                     result = std::move(value);
+                     stop(*r.loop);
+                 });
+    r.wait();
+    BOOST_TEST((result.outcome == call_outcome::unknown));
+    BOOST_TEST(!result.timed_out);
+}
+
 // Guards against checks that reject what HTTP allows.
 BOOST_DATA_TEST_CASE(unusual_responses_are_delivered,
                      boost::unit_test::data::make(rig::unusual_responses()), unusual)
--- a/test/pool-test.cpp
+++ b/test/pool-test.cpp
@@ -286,6 +286,20 @@
     BOOST_TEST(peer.result->response.body == "next");
 }
 
+// Guards against a call that waits for the rest of a response that is already known to be broken.
+BOOST_DATA_TEST_CASE(unfinished_broken_response_ends_its_call,
+                     boost::unit_test::data::make(rig::unfinished_broken_responses()), text)
+{
+    raw_peer peer;
+    peer.start(peer.get());
+    BOOST_REQUIRE(!peer.receive(0).empty());
+    peer.send(0, text);
+    BOOST_REQUIRE(peer.ended());
+    BOOST_TEST((peer.result->outcome == call_outcome::unknown));
+    BOOST_TEST(!peer.result->timed_out);
+    BOOST_TEST(open_connections(*peer.pool) == 0U);
+}
+
 // Guards against a response in pieces that is taken for a broken one.
 BOOST_FIXTURE_TEST_CASE(response_may_arrive_in_pieces, raw_peer)
 {
