Reject responses whose fields leave the end of their body open

What callers saw: with an idempotency key, a peer's response with two different lengths, "Content-Length: 6, 2", "6x" or "+6" was passed on with a body cut or read by one of them. On the platform an answer with "Transfer-Encoding: gzip", which no request offers, was passed on as coded, without the field that says so: a body that was not the server's. The store's acknowledgements, and daemons' answers to the tool, were read the same way.

Cause: libcurl reads as many digits of a length as there are and lets the last length win; Boost.Beast ignores codings other than "chunked", and such a response then ends with its length or its connection.

Change: check_head_line() accepts lengths that are all the same number, or the coding "chunked" alone. Both fields together, another coding, or a folded line of either field make the response invalid. Equal lengths that are repeated or listed remain valid, as HTTP allows.

--- a/src/response_head.cpp
+++ b/src/response_head.cpp
@@ -1,7 +1,8 @@
 #include "response_head.hpp"
 
+#include "sardinepoint/http.hpp"
+
 #include <algorithm>
-#include <optional>
 
 namespace sardinepoint
 {
@@ -80,10 +81,57 @@
     return {};
 }
 
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
+}
+
+/** Takes the length from a field that may list it several times. False if it is no single length.
+ */
+bool take_content_length(response_head& head, std::string_view value)
+{
+    while (true)
+    {
+        const std::size_t end = value.find(',');
+        const auto length = parse_integer(trim(value.substr(0, end)));
+        if (!length || (head.content_length && *head.content_length != *length))
+        {
+            return false;
+        }
+        head.content_length = length;
+        if (end == std::string_view::npos)
+        {
+            return true;
+        }
+        value.remove_prefix(end + 1);
+    }
+}
+
+/** Checks the fields that tell where the body ends. */
+std::string check_framing(response_head& head, std::string_view name, std::string_view value)
+{
+    const bool is_length = equal_header_name(name, "Content-Length");
+    const bool is_coding = equal_header_name(name, "Transfer-Encoding");
+    head.is_framing_field = is_length || is_coding;
+    if (is_length && !take_content_length(head, value))
+    {
+        return "its Content-Length is not one number";
+    }
+    // Requests don't offer any other coding.
+    if (is_coding && (head.is_chunked || !equal_header_name(trim(value), "chunked")))
+    {
+        return "its body is not only coded in chunks";
+    }
+    head.is_chunked = head.is_chunked || is_coding;
+    return head.is_chunked && head.content_length ? "it has both a length and chunks" : "";
+}
+
 std::string check_field_line(response_head& head, std::string_view line)
 {
     const std::string_view name = line.substr(0, line.find(':'));
-    const bool continues = is_continuation(line) && head.has_fields;
+    const bool continues = is_continuation(line) && head.has_fields && !head.is_framing_field;
     const bool is_named = !name.empty() && name.size() < line.size() &&
                           std::all_of(name.begin(), name.end(), is_token_byte);
     if (!continues && !is_named)
@@ -95,7 +143,7 @@
         return "a field of its head holds a control byte";
     }
     head.has_fields = true;
-    return {};
+    return continues ? std::string() : check_framing(head, name, line.substr(name.size() + 1));
 }
 
 } // namespace
--- a/src/response_head.hpp
+++ b/src/response_head.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +17,12 @@
     /** 0 until the status line has arrived. */
     int status = 0;
     bool has_fields = false;
+    /** Length of the body by Content-Length. */
+    std::optional<std::int64_t> content_length;
+    /** Whether Transfer-Encoding says that the body is sent in chunks. */
+    bool is_chunked = false;
+    /** Whether the last field tells where the body ends, so that no line may continue it. */
+    bool is_framing_field = false;
     /** Whether the empty line at its end has arrived. */
     bool complete = false;
 };
--- a/support/rig/broken_responses.cpp
+++ b/support/rig/broken_responses.cpp
@@ -13,25 +13,7 @@
 
 constexpr std::string_view valid_status_line = "HTTP/1.1 200 OK";
 
-} // namespace
-
-std::string to_text(const response_sample& response, std::string_view fields, std::string_view body)
-{
-    std::string text = response.interim + response.status_line + "\r\n";
-    // In front of the other lines, as a line that begins with a blank would continue one of them.
-    text += response.field.empty() ? "" : response.field + "\r\n";
-    text += fields;
-    if (response.trailer.empty())
-    {
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-        return text.append(body);
-    }
-    std::ostringstream chunk;
-    chunk << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n";
-    return text + "Transfer-Encoding: chunked\r\n\r\n" + chunk.str() + response.trailer +
-           "\r\n\r\n";
-}
-
+/** Responses whose status line is invalid. */
 std::vector<response_sample> broken_statuses()
 {
     std::vector<response_sample> responses;
@@ -47,6 +29,7 @@
     return responses;
 }
 
+/** Responses with a line in their head or trailer that is no valid field. */
 std::vector<response_sample> broken_fields()
 {
     const std::vector<std::pair<std::string, std::string>> lines{
@@ -84,6 +67,62 @@
     return responses;
 }
 
+/** Responses whose fields don't tell where their body ends, or how it is coded. */
+std::vector<response_sample> broken_framings()
+{
+    const std::vector<std::pair<std::string, std::string>> lines{
+        {"contradicting lengths", "Content-Length: 2"},
+        {"list of lengths", "Content-Length: 6, 2"},
+        {"text in a length", "Content-Length: 6x"},
+        {"sign in a length", "Content-Length: +6"},
+        {"too large length", "Content-Length: 99999999999999999999"},
+        {"folded length", "Content-Length: 6\r\n 1"},
+        {"coding and length", "Transfer-Encoding: gzip"},
+        {"chunks and length", "Transfer-Encoding: chunked"},
+    };
+    std::vector<response_sample> responses;
+    responses.reserve(lines.size() + 1);
+    for (const auto& [name, line] : lines)
+    {
+        responses.push_back(
+            {.name = name, .status_line = std::string(valid_status_line), .field = line});
+    }
+    responses.push_back({.name = "coding and chunks",
+                         .status_line = std::string(valid_status_line),
+                         .field = "Transfer-Encoding: gzip",
+                         .trailer = "X-A: 1"});
+    return responses;
+}
+
+} // namespace
+
+std::string to_text(const response_sample& response, std::string_view fields, std::string_view body)
+{
+    std::string text = response.interim + response.status_line + "\r\n";
+    // In front of the other lines, as a line that begins with a blank would continue one of them.
+    text += response.field.empty() ? "" : response.field + "\r\n";
+    text += fields;
+    if (response.trailer.empty())
+    {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        return text.append(body);
+    }
+    std::ostringstream chunk;
+    chunk << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n";
+    return text + "Transfer-Encoding: chunked\r\n\r\n" + chunk.str() + response.trailer +
+           "\r\n\r\n";
+}
+
+std::vector<response_sample> broken_responses()
+{
+    std::vector<response_sample> responses = broken_statuses();
+    for (const auto& list : {broken_fields(), broken_framings()})
+    {
+        responses.insert(responses.end(), list.begin(), list.end());
+    }
+    return responses;
+}
+
 std::vector<std::string> unfinished_broken_responses()
 {
     return {"trouble", "\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"};
@@ -101,6 +140,8 @@
         {.name = "tab in a value", .status_line = ok, .field = "X-Trouble: 1\t2"},
         {.name = "non-ASCII byte in a value", .status_line = ok, .field = "X-Trouble: \xfc"},
         {.name = "folded value", .status_line = ok, .field = "X-Trouble: 1\r\n 2"},
+        {.name = "length twice", .status_line = ok, .field = "Content-Length: 6"},
+        {.name = "list of equal lengths", .status_line = ok, .field = "content-length: 6 , 6"},
         {.name = "unusual name", .status_line = ok, .field = "!#$%&'*+-.^_`|~09aZ: 1"},
         {.name = "interim response",
          .status_line = ok,
--- a/support/rig/broken_responses.hpp
+++ b/support/rig/broken_responses.hpp
@@ -28,11 +28,8 @@
 std::string to_text(const response_sample& response, std::string_view fields = {},
                     std::string_view body = broken_body);
 
-/** Responses whose status line is invalid. */
-std::vector<response_sample> broken_statuses();
-
-/** Responses with a line in their head that is no valid header field. */
-std::vector<response_sample> broken_fields();
+/** Responses that are not valid HTTP/1.1. */
+std::vector<response_sample> broken_responses();
 
 /** Starts of responses that can't become valid, whatever follows. */
 std::vector<std::string> unfinished_broken_responses();
--- a/test/broken-response-test.cpp
+++ b/test/broken-response-test.cpp
@@ -79,16 +79,6 @@
     BOOST_TEST(response.elapsed < response_limit_ms);
 }
 
-std::vector<rig::response_sample> all_broken_responses()
-{
-    std::vector<rig::response_sample> responses = rig::broken_statuses();
-    for (rig::response_sample& response : rig::broken_fields())
-    {
-        responses.push_back(std::move(response));
-    }
-    return responses;
-}
-
 /** Name of the broken response that the upstream shall send to the request; empty: a valid one. */
 std::string wanted_response(const std::string& request)
 {
@@ -97,7 +87,7 @@
 
 void respond(int fd, const std::string& request, std::string_view fields)
 {
-    for (const rig::response_sample& response : all_broken_responses())
+    for (const rig::response_sample& response : rig::broken_responses())
     {
         if (response.name == wanted_response(request))
         {
@@ -247,7 +237,7 @@
 {
     rig::raw_caller beside(this->mesh.daemons[0].data);
     rig::raw_caller away(this->mesh.daemons[1].data);
-    for (const rig::response_sample& response : all_broken_responses())
+    for (const rig::response_sample& response : rig::broken_responses())
     {
         this->check(beside, response.name);
         this->check(away, response.name);
@@ -265,7 +255,7 @@
     const std::string issuer = to_string(daemon.data);
     key.replace(key.find(issuer), issuer.size(), to_string(owner.where));
     rig::raw_caller caller(daemon.data);
-    for (const rig::response_sample& response : all_broken_responses())
+    for (const rig::response_sample& response : rig::broken_responses())
     {
         BOOST_TEST_CONTEXT(response.name)
         {
@@ -319,7 +309,7 @@
 {
     rig::raw_caller away(this->daemons[0]->outbound);
     rig::raw_caller beside(this->daemons[1]->outbound);
-    for (const rig::response_sample& response : all_broken_responses())
+    for (const rig::response_sample& response : rig::broken_responses())
     {
         this->check(away, response.name);
         this->check(beside, response.name);
--- a/test/cli-test.cpp
+++ b/test/cli-test.cpp
@@ -421,9 +421,7 @@
 
 // Guards against a broken response that is taken for a daemon's answer: the patch may be published.
 BOOST_DATA_TEST_CASE(broken_response_of_a_daemon_is_no_answer,
-                     boost::unit_test::data::make(rig::broken_statuses()) +
-                         boost::unit_test::data::make(rig::broken_fields()),
-                     broken)
+                     boost::unit_test::data::make(rig::broken_responses()), broken)
 {
     const std::string response =
         rig::to_text(broken, {}, R"({"result":"accepted","id":"p","version":1,"offset":0})");
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -231,9 +231,7 @@
 
 // Guards against a broken response that is delivered, and against reuse of its connection.
 BOOST_DATA_TEST_CASE(broken_responses_are_never_delivered,
-                     boost::unit_test::data::make(rig::broken_statuses()) +
-                         boost::unit_test::data::make(rig::broken_fields()),
-                     broken)
+                     boost::unit_test::data::make(rig::broken_responses()), broken)
 {
     client_rig r;
     rig::raw_server peer({"127.0.0.1", 0},
--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -502,9 +502,7 @@
 // Guards against a broken response that is taken for the store's refusal or acknowledgement: what
 // was sent may have been appended.
 BOOST_DATA_TEST_CASE(broken_responses_of_the_store_prove_nothing,
-                     boost::unit_test::data::make(rig::broken_statuses()) +
-                         boost::unit_test::data::make(rig::broken_fields()),
-                     broken)
+                     boost::unit_test::data::make(rig::broken_responses()), broken)
 {
     std::string response = rig::to_text(broken, {}, R"({"Offset":0,"EndOffset":1})");
     rig::raw_server broken_store({"127.0.0.1", 0}, [&](int fd, const std::string&, int)
--- a/test/pool-test.cpp
+++ b/test/pool-test.cpp
@@ -264,9 +264,7 @@
 // Guards against a broken response that is delivered or waited for, and against reuse of its
 // connection.
 BOOST_DATA_TEST_CASE(broken_responses_are_never_delivered,
-                     boost::unit_test::data::make(rig::broken_statuses()) +
-                         boost::unit_test::data::make(rig::broken_fields()),
-                     broken)
+                     boost::unit_test::data::make(rig::broken_responses()), broken)
 {
     raw_peer peer;
     peer.start(peer.get());
