Count the evidence of a service for its newest order

Cause: move_of_service() took the last running move in the order of the moves' ids, which end in the offset of the order as text: "board@10" stands before "board@9". The answers of the new version counted for the older move, as answers of its old version, so its own move had no evidence.

Change: a move is replaced when a newer order for its service is known, and is never taken for the service's move. Of the others, the running one counts, else the one that was started last; for two watched moves that also went by their ids.

--- a/src/move_internal.hpp
+++ b/src/move_internal.hpp
@@ -14,7 +14,11 @@
 /** The move's record in this daemon's replica of the configuration, or null. */
 const move_record* find_move_record(const node& self, const std::string& move);
 
-/** The running or watched move of a service, or nulls. A service has at most one running move. */
+/** Whether the move was started by an order and a newer order for its service is known. */
+bool is_replaced(const node& self, const move_record& record);
+
+/** The running move of a service, else the latest watched one, or nulls. A replaced move is never
+ * returned, so that at most one of the service's moves is running. */
 std::pair<const move_record*, tracked_move*> move_of_service(const node& self,
                                                              std::string_view service);
 
--- a/src/move_runtime.cpp
+++ b/src/move_runtime.cpp
@@ -50,6 +50,16 @@
            (record.state == move_state::done && wall_now() < watch_end);
 }
 
+/** Whether the left one of two moves of a service is the one that its calls count for. */
+bool takes_precedence(const move_record& left, const move_record& right)
+{
+    const auto rank = [](const move_record& record)
+    {
+        return std::pair(record.state == move_state::running, record.spec.start);
+    };
+    return rank(left) > rank(right);
+}
+
 } // namespace
 
 const move_record* find_move_record(const node& self, const std::string& move)
@@ -68,6 +78,18 @@
     }
 }
 
+bool is_replaced(const node& self, const move_record& record)
+{
+    const auto& moves = self.config_replica.state.moves;
+    return record.spec.order > 0 && std::any_of(moves.begin(), moves.end(),
+                                                [&](const auto& entry)
+                                                {
+                                                    const move_spec& other = entry.second.spec;
+                                                    return other.order > record.spec.order &&
+                                                           other.service == record.spec.service;
+                                                });
+}
+
 std::pair<const move_record*, tracked_move*> move_of_service(const node& self,
                                                              std::string_view service)
 {
@@ -75,11 +97,9 @@
     for (auto& [id, tracked] : self.moves->moves)
     {
         const move_record* record = find_move_record(self, id);
-        if (record == nullptr || record->spec.service != service)
-        {
-            continue;
-        }
-        if (found.first == nullptr || record->state == move_state::running)
+        // The map sorts ids as texts, which says nothing about the order of the moves.
+        if (record != nullptr && record->spec.service == service && !is_replaced(self, *record) &&
+            (found.first == nullptr || takes_precedence(*record, *found.first)))
         {
             found = {record, &tracked};
         }
--- a/test/sidecar-move-test.cpp
+++ b/test/sidecar-move-test.cpp
@@ -38,6 +38,15 @@
     };
 }
 
+void order_move(rig::fleet& fleet, const std::string& version, time_ms duration)
+{
+    fleet.store.write("keyed.op", "rollout/board",
+                      json{{"Service", "board"},
+                           {"TargetVersion", version},
+                           {"Duration", std::to_string(duration) + "ms"}}
+                          .dump());
+}
+
 /** Starts a move to v2, sends calls until it ends or its time is up, and returns its recorded
  * state. */
 std::string move_to_v2(three_upstreams& fleet, const move_scenario& scenario)
@@ -49,11 +58,7 @@
         added.push_back(fleet.add("board", "v2").upstream.get());
         added.back()->status = scenario.new_status;
     }
-    fleet.store.write("keyed.op", "rollout/board",
-                      json{{"Service", "board"},
-                           {"TargetVersion", "v2"},
-                           {"Duration", std::to_string(duration) + "ms"}}
-                          .dump());
+    order_move(fleet, "v2", duration);
     const time_ms end = steady_now() + duration;
     std::string state;
     std::uint64_t next = 0;
@@ -127,6 +132,57 @@
     BOOST_TEST(this->store.write_count("keyed.status", "rollout/board") <= 2);
 }
 
+// Guards against a bad version that is never withdrawn because the order to it came while an older
+// one was active.
+BOOST_FIXTURE_TEST_CASE(bad_version_of_a_second_order_is_withdrawn, three_upstreams)
+{
+    constexpr time_ms duration_ms = 12000;
+    constexpr time_ms withdrawal_limit_ms = 5000;
+    constexpr std::size_t first_offset = 9;
+    this->add("board", "v2");
+    int answers = 0;
+    this->add("board", "v3").upstream->modify_response = [&](http_response& response)
+    {
+        response.status = ++answers % 2 == 0 ? 500 : 200;
+    };
+    while (this->store.topics["keyed.op"].records.size() < first_offset)
+    {
+        this->store.write("keyed.op", "padding", "");
+    }
+    time_ms fiftieth_failure = 0;
+    int late_calls = 0;
+    const auto send_calls = [&](time_ms time)
+    {
+        const time_ms end = steady_now() + time;
+        for (std::size_t next = 0; steady_now() < end; ++next)
+        {
+            this->start_call(this->daemon(next % 3), {}, [](const http_result&) {});
+            this->run_for(8);
+        }
+    };
+    order_move(*this, "v2", duration_ms);
+    send_calls(2000);
+    order_move(*this, "v3", duration_ms);
+    send_calls(duration_ms);
+    int calls = 0;
+    for (const rig::received_request& request : this->received_requests)
+    {
+        calls += request.version == "v3" ? 1 : 0;
+        // Every second call fails.
+        fiftieth_failure = calls == 100 && fiftieth_failure == 0 ? request.at : fiftieth_failure;
+        late_calls += request.version == "v3" && fiftieth_failure > 0 &&
+                              request.at > fiftieth_failure + withdrawal_limit_ms
+                          ? 1
+                          : 0;
+    }
+    BOOST_TEST(calls >= 1);
+    BOOST_TEST(calls <= exposure_limit(*this));
+    BOOST_TEST(late_calls == 0);
+    const json status = json::parse(this->store.newest("keyed.status", "rollout/board"));
+    BOOST_TEST(status.value("State", "") == "rolled_back");
+    BOOST_TEST(status.value("TargetVersion", "") == "v3");
+}
+
 // Guards against a slow version that is completed because each daemon alone has too few calls to
 // learn what is slow.
 BOOST_FIXTURE_TEST_CASE(slow_version_is_withdrawn_under_little_traffic, three_upstreams)
--- a/test/versions-test.cpp
+++ b/test/versions-test.cpp
@@ -14,6 +14,9 @@
 #include <cmath>
 #include <random>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 using namespace sardinepoint;
 
@@ -25,16 +28,38 @@
 {
     node self;
 
-    two_orders()
+    explicit two_orders(std::uint64_t first = 1, std::uint64_t second = 5)
     {
-        for (const std::uint64_t offset : {1U, 5U})
+        this->add(make_ordered_move({.service = "board", .to = "v2", .duration = 12000}, first,
+                                    wall_now()));
+        this->add(make_ordered_move({.service = "board", .to = "v3", .duration = 12000}, second,
+                                    wall_now()));
+    }
+
+    void add(const move_record& record)
+    {
+        this->self.config_replica.state.moves[record.spec.id] = record;
+        this->self.moves->moves[record.spec.id] = {};
+    }
+
+    /** Records an answer of the version; returns the moves that counted it for their new one. */
+    std::vector<std::string> moves_that_count(std::string_view version)
+    {
+        record_attempt_evidence(this->self, {.service = "board",
+                                             .route = "lookup",
+                                             .version = version,
+                                             .outcome = run_outcome::answered,
+                                             .status = 500});
+        std::vector<std::string> counting;
+        for (auto& [move, tracked] : this->self.moves->moves)
         {
-            const move_record record = make_ordered_move(
-                {.service = "board", .to = offset == 1 ? "v2" : "v3", .duration = 12000}, offset,
-                wall_now());
-            this->self.config_replica.state.moves[record.spec.id] = record;
-            this->self.moves->moves[record.spec.id] = {};
+            const route_counters counted = std::exchange(tracked.own_counters, {})["lookup"];
+            if (counted.to.calls > 0)
+            {
+                counting.push_back(move);
+            }
         }
+        return counting;
     }
 
     move_progress& progress(const std::string& move)
@@ -67,6 +92,48 @@
     BOOST_TEST(may_receive_call(rule, "v1", false));
 }
 
+// Guards against failures of a bad version that count for an older order, so that the version is
+// never withdrawn: as texts, the ids of some orders sort before those of older ones.
+BOOST_AUTO_TEST_CASE(evidence_counts_for_the_newest_order)
+{
+    const std::vector<std::pair<std::uint64_t, std::uint64_t>> offsets{
+        {1, 5}, {9, 10}, {99, 100}, {999, 1000}, {2, 10}};
+    for (const auto& [first, second] : offsets)
+    {
+        const std::string newest = "board@" + std::to_string(second);
+        two_orders test(first, second);
+        BOOST_TEST(test.moves_that_count("v3") == std::vector{newest});
+        BOOST_TEST(test.moves_that_count("v2").empty(), newest);
+        // The end of the newest order doesn't bring back an older one.
+        test.self.config_replica.state.moves[newest].state = move_state::withdrawn;
+        handle_config_change(test.self);
+        BOOST_TEST(test.moves_that_count("v2").empty(), newest);
+        BOOST_TEST(test.moves_that_count("v3").empty(), newest);
+    }
+}
+
+// Guards against a fault of the latest version that counts for an earlier move, which is still
+// watched and whose id sorts first.
+BOOST_AUTO_TEST_CASE(evidence_counts_for_the_latest_watched_move)
+{
+    two_orders test;
+    test.self.config_replica.state.moves.clear();
+    test.self.moves->moves.clear();
+    for (const int number : {1, 2})
+    {
+        move_record record{.spec = {.id = "move-" + std::to_string(number),
+                                    .service = "board",
+                                    .from = "v" + std::to_string(number),
+                                    .to = "v" + std::to_string(number + 1),
+                                    .start = wall_now() + number,
+                                    .deadline = wall_now() + 1000},
+                           .state = move_state::done};
+        test.add(record);
+    }
+    BOOST_TEST(test.moves_that_count("v3") == std::vector<std::string>{"move-2"});
+    BOOST_TEST(test.moves_that_count("v2").empty());
+}
+
 // Guards against a withdrawn version that receives calls again, and against a recorded outcome that
 // is overridden by a late message of a peer.
 BOOST_FIXTURE_TEST_CASE(recorded_ends_count_before_messages, two_orders)
