Neither decide nor record a move that a newer order has replaced

Cause: the aggregators went on with the replaced move. At its deadline the calls from before the second order were enough to complete it.

Change: the aggregators leave a replaced move as it is.

--- a/src/move_aggregation.cpp
+++ b/src/move_aggregation.cpp
@@ -209,7 +209,7 @@
 {
     const auto tracked = self.moves->moves.find(move);
     const move_record* record = find_move_record(self, move);
-    if (record != nullptr && record->state == move_state::running &&
+    if (record != nullptr && record->state == move_state::running && !is_replaced(self, *record) &&
         tracked != self.moves->moves.end())
     {
         record_move_outcome(self, *record, tracked->second);
@@ -370,7 +370,9 @@
     report_domain_sum(self, move, tracked);
     update_domain_thresholds(tracked);
     const bool order_ended = record->spec.order > 0 && record->state != move_state::running;
-    if (order_ended)
+    // A replaced version gets no calls, so its move must not be decided: without evidence it would
+    // be completed at its deadline, and the old version's upstreams would end.
+    if (order_ended || is_replaced(self, *record))
     {
         return;
     }
--- a/test/sidecar-move-test.cpp
+++ b/test/sidecar-move-test.cpp
@@ -133,7 +133,7 @@
 }
 
 // Guards against a bad version that is never withdrawn because the order to it came while an older
-// one was active.
+// one was active, and against the older order that is decided without evidence once it is replaced.
 BOOST_FIXTURE_TEST_CASE(bad_version_of_a_second_order_is_withdrawn, three_upstreams)
 {
     constexpr time_ms duration_ms = 12000;
@@ -181,6 +181,19 @@
     const json status = json::parse(this->store.newest("keyed.status", "rollout/board"));
     BOOST_TEST(status.value("State", "") == "rolled_back");
     BOOST_TEST(status.value("TargetVersion", "") == "v3");
+    // The first order gets no outcome, as its version got no calls from the second one on.
+    std::uint64_t newest_order = 0;
+    for (const auto& [key, value] : this->store.topics["keyed.status"].records)
+    {
+        if (key == "rollout/board")
+        {
+            const json written = json::parse(value);
+            const auto order = written.value("order", std::uint64_t{0});
+            BOOST_TEST(order >= newest_order);
+            BOOST_TEST((order > first_offset + 1 || written.value("State", "") == "active"));
+            newest_order = std::max(newest_order, order);
+        }
+    }
 }
 
 // Guards against a slow version that is completed because each daemon alone has too few calls to
