--- a/test/platform-test.cpp
+++ b/test/platform-test.cpp
@@ -601,6 +601,27 @@
     }
 }
 
+// Guards against a roll-back that is overwritten by a daemon that starts, reads an older order and
+// doesn't know the newer one yet: daemons that start later would begin the newer move again.
+BOOST_AUTO_TEST_CASE(status_never_goes_back_to_an_older_order)
+{
+    store_client client;
+    move_spec newer = board_move();
+    newer.order += 20;
+    BOOST_TEST((client.record(newer, move_state::withdrawn).recorded == move_state::withdrawn));
+    for (const move_state state : {move_state::running, move_state::done, move_state::withdrawn})
+    {
+        const outcome_result older = client.record(board_move(), state);
+        BOOST_TEST((older.outcome == append_outcome::refused));
+        BOOST_TEST((older.recorded == move_state::running));
+    }
+    BOOST_TEST(client.store.write_count(status_topic, status_key) == 1);
+    const auto status = fleet::decode_status(client.store.newest(status_topic, status_key));
+    BOOST_REQUIRE(status);
+    BOOST_TEST(status->order == newer.order);
+    BOOST_TEST((status->state == move_state::withdrawn));
+}
+
 // Guards against a cold upstream that is taken for warm, and a warm one whose calls are held back
 // because its health responses say nothing of cold times.
 BOOST_AUTO_TEST_CASE(health_responses_tell_the_cold_time)
