List moves in the order in which they were started

Cause: the list went by the moves' ids, so that an order at offset 10 stood before the one at offset 9.

Evidence: versions-test/moves_are_listed_in_the_order_of_their_start failed before and passes now.

--- a/src/move_runtime.cpp
+++ b/src/move_runtime.cpp
@@ -6,7 +6,9 @@
 #include "sardinepoint/logging.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace sardinepoint
 {
@@ -239,10 +241,21 @@
 
 json move_views(const node& self)
 {
-    json views = json::array();
+    std::vector<const move_spec*> specs;
     for (const auto& [id, record] : self.config_replica.state.moves)
     {
-        views.push_back(*move_view(self, id));
+        specs.push_back(&record.spec);
+    }
+    std::sort(specs.begin(), specs.end(),
+              [](const move_spec* left, const move_spec* right)
+              {
+                  return std::tie(left->start, left->order, left->id) <
+                         std::tie(right->start, right->order, right->id);
+              });
+    json views = json::array();
+    for (const move_spec* spec : specs)
+    {
+        views.push_back(*move_view(self, spec->id));
     }
     return views;
 }
--- a/src/move_runtime.hpp
+++ b/src/move_runtime.hpp
@@ -123,6 +123,7 @@
 
 /** A move's state as shown to operators; empty if the move is unknown. */
 std::optional<nlohmann::json> move_view(const node& self, const std::string& move);
+/** All known moves, the earliest first. */
 nlohmann::json move_views(const node& self);
 
 /** Updates the tracked moves and the sidecar's routes after a change of the configuration. */
--- a/test/versions-test.cpp
+++ b/test/versions-test.cpp
@@ -112,6 +112,16 @@
     }
 }
 
+// Guards against a list of moves in which a later one stands before an earlier one.
+BOOST_AUTO_TEST_CASE(moves_are_listed_in_the_order_of_their_start)
+{
+    const two_orders test(9, 10);
+    const nlohmann::json views = move_views(test.self);
+    BOOST_REQUIRE_EQUAL(views.size(), 2U);
+    BOOST_TEST(views[0].value("move", "") == "board@9");
+    BOOST_TEST(views[1].value("move", "") == "board@10");
+}
+
 // Guards against a fault of the latest version that counts for an earlier move, which is still
 // watched and whose id sorts first.
 BOOST_AUTO_TEST_CASE(evidence_counts_for_the_latest_watched_move)
