Cancel the calls of a leaving caller without running other callbacks

Cause: drop_connection() cancelled the connection's calls one by one after it had removed the connection. Cancelling a call that ran on the VM's own upstream passed its slot on at once, which refuses calls that have waited too long. If one of these was a later call of the same connection, its refusal was sent to a request that was still registered and whose connection was not.

Change: drop_connection() removes all requests before it cancels the first. cancel_inbound() runs no callbacks; the slot is passed on in the next iteration of the event loop. So the end of a hedged call's slower attempt can't end other calls either while the call is still in use, and a cancelled call is removed before its attempts are aborted.

--- a/src/inbound.cpp
+++ b/src/inbound.cpp
@@ -100,12 +100,12 @@
     }
 }
 
-/** Releases the slot of a call and starts the next waiting call. */
-void free_slot(node& self, const inbound_call& call, bool answered)
+/** Records the end of a call's work; returns false if the call holds no slot to be passed on. */
+bool record_work_end(node& self, const inbound_call& call, bool answered)
 {
     if (!call.holds_slot || !self.sidecar_state->served)
     {
-        return;
+        return false;
     }
     const time_ms now = steady_now();
     record_finished(self.sidecar_state->served->queue,
@@ -113,12 +113,50 @@
                      .service_time = now - call.started_at,
                      .answered = answered},
                     now);
+    return true;
+}
+
+void reuse_slot(node& self)
+{
     if (!use_slot_for_health_request(self))
     {
         pass_on_slot(self);
     }
 }
 
+/** Releases the slot of a call and starts the next waiting call. */
+void free_slot(node& self, const inbound_call& call, bool answered)
+{
+    if (record_work_end(self, call, answered))
+    {
+        reuse_slot(self);
+    }
+}
+
+void reuse_freed_slots(node& self)
+{
+    if (!self.sidecar_state->served)
+    {
+        return;
+    }
+    for (int left = std::exchange(self.sidecar_state->served->freed_slots, 0); left > 0; --left)
+    {
+        reuse_slot(self);
+    }
+}
+
+/**
+ * Like free_slot, but in the next iteration of the event loop: passing on a slot refuses calls that
+ * have waited too long, and their callbacks must not run while other calls are being cancelled.
+ */
+void free_slot_later(node& self, const inbound_call& call)
+{
+    if (record_work_end(self, call, false) && self.sidecar_state->served->freed_slots++ == 0)
+    {
+        run_after(*self.loop, 0, [&self] { reuse_freed_slots(self); });
+    }
+}
+
 void finish_running(node& self, std::uint64_t id, inbound_result result, bool answered = false)
 {
     std::unique_ptr<inbound_call> call = extract_inbound(self, id);
@@ -467,7 +505,7 @@
     {
         remove_waiting(self.sidecar_state->served->queue, id);
     }
-    free_slot(self, *call, false);
+    free_slot_later(self, *call);
 }
 
 void handle_inbound_request(node& self, request_id id, http_request request)
--- a/src/inbound.hpp
+++ b/src/inbound.hpp
@@ -42,7 +42,7 @@
 std::uint64_t run_inbound(node& self, http_request request, std::shared_ptr<const std::string> body,
                           hop_terms terms, inbound_callback done);
 
-/** Aborts a call without running its callback. */
+/** Aborts a call. No callback runs, neither its own nor that of another call. */
 void cancel_inbound(node& self, std::uint64_t id);
 
 /** Handles a call from another daemon for the upstream of this VM. */
--- a/src/outbound.cpp
+++ b/src/outbound.cpp
@@ -213,26 +213,26 @@
 
 void handle_outbound_cancelled(node& self, request_id id)
 {
-    outbound_call* call = find_call(self, id.value);
-    if (call == nullptr)
+    const auto entry = self.sidecar_state->outbound.extract(id.value);
+    if (entry.empty())
     {
         return;
     }
+    outbound_call& call = *entry.mapped();
     count(self.stats, "outbound_cancelled");
     log_event(log_level::info, "outbound_cancelled",
-              {{"id", call->caller.id},
-               {"route", call->route},
-               {"instance", call->instance},
-               {"us", steady_now_us() - call->arrived_us}});
-    if (call->forwarded || call->inbound)
+              {{"id", call.caller.id},
+               {"route", call.route},
+               {"instance", call.instance},
+               {"us", steady_now_us() - call.arrived_us}});
+    if (call.forwarded || call.inbound)
     {
-        abort_attempts(self, *call);
+        abort_attempts(self, call);
     }
-    if (call->deadline_timer)
+    if (call.deadline_timer)
     {
-        cancel_timer(*self.loop, *call->deadline_timer);
+        cancel_timer(*self.loop, *call.deadline_timer);
     }
-    self.sidecar_state->outbound.erase(id.value);
 }
 
 void abort_open_calls(node& self)
--- a/src/pipelined_output.cpp
+++ b/src/pipelined_output.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sardinepoint::detail
 {
@@ -59,11 +60,21 @@
     ::close(connection.fd);
     intake::close_connection(server.gate, id);
     end_output_turn(server, connection);
+    // All requests are removed before the first callback: cancelling one of them may lead to a
+    // response to another.
+    std::vector<std::uint64_t> unanswered;
     for (const pipelined_exchange& exchange : connection.exchanges)
     {
-        if (server.requests.erase(exchange.id) > 0 && server.callbacks.on_cancelled)
+        if (server.requests.erase(exchange.id) > 0)
         {
-            server.callbacks.on_cancelled({exchange.id});
+            unanswered.push_back(exchange.id);
+        }
+    }
+    for (const std::uint64_t request : unanswered)
+    {
+        if (server.callbacks.on_cancelled)
+        {
+            server.callbacks.on_cancelled({request});
         }
     }
 }
--- a/src/sidecar.hpp
+++ b/src/sidecar.hpp
@@ -57,6 +57,8 @@
     /** Time of the last connection probe that was sent because no call had ended. */
     time_ms probed_at = 0;
     admission_queue queue;
+    /** Slots of cancelled calls that are about to be passed on; the queue counts them as used. */
+    int freed_slots = 0;
     advertised_service_time advertised;
 };
 
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -36,6 +36,8 @@
     send_turns turns{.loop = this->loop.get(), .table = {.options = {.max_active = 1}}};
     std::vector<std::pair<request_id, http_request>> requests;
     std::vector<std::uint64_t> cancelled;
+    /** Called for each cancelled request; may be empty. */
+    std::function<void()> react;
     pipelined_server_ptr server;
     int caller = -1;
 
@@ -67,6 +69,10 @@
                                        [this](request_id id)
                                    {
                                        this->cancelled.push_back(id.value);
+                                       if (this->react)
+                                       {
+                                           this->react();
+                                       }
                                    }},
                                   reason);
         BOOST_REQUIRE_MESSAGE(this->server, describe(reason));
@@ -185,6 +191,25 @@
     test.answer(0, "late");
 }
 
+// Guards against the use of a connection that is being dropped: cancelling its first request frees
+// what another one waits for, which may be answered then.
+BOOST_AUTO_TEST_CASE(cancelled_request_may_lead_to_a_response_to_another)
+{
+    server_fixture test;
+    test.react = [&]
+    {
+        for (std::size_t i = 0; i < test.requests.size(); ++i)
+        {
+            test.answer(i, "late");
+        }
+    };
+    test.send(get("/1") + get("/2") + get("/3"));
+    BOOST_REQUIRE(test.run_until([&] { return test.requests.size() == 3; }));
+    test.drop_connections();
+    BOOST_TEST(test.run_until([&] { return test.cancelled.size() == 3; }));
+    BOOST_TEST(open_connections(*test.server) == 0U);
+}
+
 // Guards against timeouts that start when a request is read, after it waited behind a backlog.
 BOOST_AUTO_TEST_CASE(request_reports_its_earliest_arrival_time)
 {
--- a/test/running-calls-test.cpp
+++ b/test/running-calls-test.cpp
@@ -5,6 +5,11 @@
 
 #include "sardinepoint/http_server.hpp"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <csignal>
 #include <optional>
 #include <string>
@@ -78,3 +83,66 @@
     BOOST_TEST(this->run_count("refused") == 0);
     BOOST_TEST(this->finish() == 200);
 }
+
+namespace
+{
+
+/** Connects a caller that may leave before its responses. */
+int connect_caller(const endpoint& daemon)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(daemon.port);
+    inet_pton(AF_INET, daemon.address.c_str(), &address.sin_addr);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    BOOST_REQUIRE_EQUAL(::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return fd;
+}
+
+} // namespace
+
+// Guards against a daemon that ends, with all its calls, because a caller leaves while its first
+// call holds the only slot and its second one has waited for too long to be run.
+BOOST_AUTO_TEST_CASE(leaving_caller_with_pipelined_calls_ends_no_other_call)
+{
+    constexpr time_ms caller_deadline_ms = 600;
+    // Calls that can't meet their latency target wait for 5% of their time, and the daemon looks
+    // for expired waits every 50 ms.
+    constexpr time_ms first_leave_ms = 30;
+    constexpr time_ms last_leave_ms = 46;
+    rig::fleet fleet(SARDINEPOINT_BIN_DIR, "leaving-caller");
+    fleet.publish(1, {"board", "desk"});
+    rig::fleet_daemon& board = fleet.add("board");
+    fleet.add("desk").upstream->processing_time = 100;
+    BOOST_REQUIRE(fleet.wait_served("board", start_limit_ms));
+    BOOST_REQUIRE(fleet.wait_served("desk", start_limit_ms));
+    board.upstream->slots = 1;
+    board.upstream->processing_time = deadline_ms;
+    BOOST_REQUIRE_EQUAL(fleet.announce(board), 200);
+    int started = 0;
+    int answered = 0;
+    for (time_ms leave = first_leave_ms; leave <= last_leave_ms; ++leave)
+    {
+        const int caller = connect_caller(board.outbound);
+        std::string requests;
+        for (const char* number : {"1", "2"})
+        {
+            requests += "GET /board/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: " +
+                        std::to_string(leave) + "-" + number +
+                        "\r\nX-Deadline-Ms: " + std::to_string(caller_deadline_ms) + "\r\n\r\n";
+        }
+        BOOST_REQUIRE_EQUAL(::send(caller, requests.data(), requests.size(), MSG_NOSIGNAL),
+                            static_cast<ssize_t>(requests.size()));
+        fleet.run_for(leave - 50);
+        ++started;
+        fleet.start_call(board, {.path = "/desk/x"},
+                         [&](const http_result& result)
+                         { answered += result.response.status == 200 ? 1 : 0; });
+        fleet.run_for(50);
+        ::close(caller);
+        BOOST_REQUIRE(fleet.run_until(1000, [&] { return answered == started; }));
+        // Nothing of a caller that has left runs later.
+        BOOST_TEST(fleet.run_count(std::to_string(leave) + "-2") == 0);
+    }
+    BOOST_TEST(board.child_process->is_running());
+}
