Drop a connection that can't be written to in the next iteration

Cause: a response that could not be sent dropped its connection at once and cancelled the caller's other calls, in the middle of whatever had led to the response. A call that was being offered to the VM's own upstream could be removed while the offer still wrote to it, and a slot that was about to be given to a call could be lost with the call.

Change: the connection is dropped by a timer, so that sending a response runs no callback.

Evidence: pipelined-server-test/response_to_a_lost_caller_cancels_nothing_at_ once failed before (the second request was cancelled within send_response()) and passes now.

--- a/src/pipelined_connection.hpp
+++ b/src/pipelined_connection.hpp
@@ -106,6 +106,9 @@
     /** Throttled connections and the timer after which they are read again. */
     std::vector<std::uint64_t> throttled;
     std::optional<timer_id> throttle_timer;
+    /** Connections on which sending has failed, and the timer that drops them. */
+    std::vector<std::uint64_t> failed;
+    std::optional<timer_id> drop_timer;
     intake::gate_handle gate;
     /** Rejections since the last log line about them, and its time. */
     std::uint64_t rejections = 0;
@@ -132,7 +135,7 @@
 /** Whether nothing may be sent until the turn of the connection starts. */
 bool is_awaiting_turn(const pipelined_server& server, const caller_connection& connection);
 
-/** Sends as much output as possible. May destroy the connection. */
+/** Sends as much output as possible. Runs no callback; a failed connection is dropped later. */
 void flush_connection(pipelined_server& server, std::uint64_t id);
 
 /** Answers an invalid or incomplete request with an error and stops reading requests. */
--- a/src/pipelined_output.cpp
+++ b/src/pipelined_output.cpp
@@ -249,6 +249,29 @@
     }
 }
 
+void drop_failed_connections(pipelined_server& server)
+{
+    server.drop_timer.reset();
+    for (const std::uint64_t id : std::exchange(server.failed, {}))
+    {
+        drop_connection(server, id);
+    }
+}
+
+/**
+ * Drops a connection in the next iteration of the event loop. A response may be sent in the middle
+ * of work on other calls, and dropping the connection cancels calls.
+ */
+void drop_later(pipelined_server& server, std::uint64_t id)
+{
+    server.failed.push_back(id);
+    if (!server.drop_timer)
+    {
+        server.drop_timer =
+            run_after(*server.loop, 0, [&server] { drop_failed_connections(server); });
+    }
+}
+
 } // namespace
 
 void flush_connection(pipelined_server& server, std::uint64_t id)
@@ -267,7 +290,7 @@
     const send_state state = send_output(server, *connection);
     if (state == send_state::failed)
     {
-        drop_connection(server, id);
+        drop_later(server, id);
         return;
     }
     const bool ended = connection->draining && connection->exchanges.empty();
--- a/src/pipelined_server.cpp
+++ b/src/pipelined_server.cpp
@@ -393,9 +393,12 @@
 {
     server->callbacks = {};
     cancel_timer(*server->loop, server->sweep_timer);
-    if (server->throttle_timer)
+    for (const auto& timer : {server->throttle_timer, server->drop_timer})
     {
-        cancel_timer(*server->loop, *server->throttle_timer);
+        if (timer)
+        {
+            cancel_timer(*server->loop, *timer);
+        }
     }
     intake::unregister_listener(server->gate);
     while (!server->connections.empty())
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -210,6 +210,22 @@
     BOOST_TEST(open_connections(*test.server) == 0U);
 }
 
+// Guards against calls that are cancelled in the middle of work on another one, because a response
+// can't be sent to their caller.
+BOOST_AUTO_TEST_CASE(response_to_a_lost_caller_cancels_nothing_at_once)
+{
+    server_fixture test;
+    test.send(get("/1") + get("/2"));
+    BOOST_REQUIRE(test.run_until([&] { return test.requests.size() == 2; }));
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(test.caller, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    test.drop_connections();
+    test.answer(0, "first");
+    BOOST_TEST(test.cancelled.empty());
+    BOOST_TEST(test.run_until([&] { return test.cancelled.size() == 1; }));
+    BOOST_TEST(open_connections(*test.server) == 0U);
+}
+
 // Guards against timeouts that start when a request is read, after it waited behind a backlog.
 BOOST_AUTO_TEST_CASE(request_reports_its_earliest_arrival_time)
 {
