Start no further requests of a caller whose connection has failed

Cause: since a connection that can't be written to is dropped in the next iteration, requests that had been read with others were still started when the response to one of them had failed.

Change: the connection is marked as draining at once, so that nothing more of it is parsed.

Evidence: pipelined-server-test/lost_caller_starts_no_further_requests had four requests in place of two without the mark, and passes with it.

--- a/src/pipelined_output.cpp
+++ b/src/pipelined_output.cpp
@@ -262,9 +262,11 @@
  * Drops a connection in the next iteration of the event loop. A response may be sent in the middle
  * of work on other calls, and dropping the connection cancels calls.
  */
-void drop_later(pipelined_server& server, std::uint64_t id)
+void drop_later(pipelined_server& server, caller_connection& connection)
 {
-    server.failed.push_back(id);
+    // No further requests of the lost caller are started.
+    connection.draining = true;
+    server.failed.push_back(connection.id);
     if (!server.drop_timer)
     {
         server.drop_timer =
@@ -290,7 +292,7 @@
     const send_state state = send_output(server, *connection);
     if (state == send_state::failed)
     {
-        drop_later(server, id);
+        drop_later(server, *connection);
         return;
     }
     const bool ended = connection->draining && connection->exchanges.empty();
--- a/test/pipelined-server-test.cpp
+++ b/test/pipelined-server-test.cpp
@@ -38,6 +38,8 @@
     std::vector<std::uint64_t> cancelled;
     /** Called for each cancelled request; may be empty. */
     std::function<void()> react;
+    /** Whether requests are answered in the callback that passes them on. */
+    bool answers_at_once = false;
     pipelined_server_ptr server;
     int caller = -1;
 
@@ -63,8 +65,15 @@
                                    .max_pipelined = max_pipelined,
                                    .limits = limits,
                                    .turns = &this->turns},
-                                  {.on_request = [this](request_id id, http_request request)
-                                   { this->requests.emplace_back(id, std::move(request)); },
+                                  {.on_request =
+                                       [this](request_id id, http_request request)
+                                   {
+                                       this->requests.emplace_back(id, std::move(request));
+                                       if (this->answers_at_once)
+                                       {
+                                           this->answer(this->requests.size() - 1, "at once");
+                                       }
+                                   },
                                    .on_cancelled =
                                        [this](request_id id)
                                    {
@@ -226,6 +235,19 @@
     BOOST_TEST(open_connections(*test.server) == 0U);
 }
 
+// Guards against requests that are started after a response to the same caller could not be sent.
+BOOST_AUTO_TEST_CASE(lost_caller_starts_no_further_requests)
+{
+    server_fixture test;
+    test.answers_at_once = true;
+    test.send(get("/1") + get("/2") + get("/3") + get("/4"));
+    test.drop_connections();
+    // The first response makes the caller's system reset the connection, and the second fails.
+    BOOST_TEST(test.run_until([&] { return !test.requests.empty(); }));
+    BOOST_TEST(test.run_until([&] { return open_connections(*test.server) == 0; }));
+    BOOST_TEST(test.requests.size() == 2U);
+}
+
 // Guards against timeouts that start when a request is read, after it waited behind a backlog.
 BOOST_AUTO_TEST_CASE(request_reports_its_earliest_arrival_time)
 {
